--- /dev/null
+++ b/src/waxwingshelf/__init__.py
@@ -0,0 +1,5 @@
+"""Steer callers of small firms to healthy targets across regions."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/waxwingshelf/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the ports and the outside."""
--- /dev/null
+++ b/src/waxwingshelf/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no sockets, no event loop."""
--- /dev/null
+++ b/src/waxwingshelf/core/config.py
@@ -0,0 +1,83 @@
+"""The configuration in force: a manifest revision with the tables that requests need."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import Any
+
+from msgspec import Struct
+
+from waxwingshelf.core.blocks import BlockTable, build_block_table
+from waxwingshelf.core.budgets import build_limits
+from waxwingshelf.core.manifest import Manifest, Operator, Target, list_faults, parse_manifest
+
+__all__ = ["Config", "Revision", "build_config", "digest_key", "find_operator"]
+
+Patch = list[dict[str, Any]]
+
+
+class Revision(Struct, frozen=True):
+    """One accepted change: who made it, when, why, and on which revision it was based.
+
+    `patch` leads from the revision before this one to this one, `undo` back.
+    """
+
+    revision: int
+    change_id: str
+    who: str
+    when_ms: int
+    why: str
+    based_on: int
+    patch: Patch
+    undo: Patch
+
+
+class Config:
+    """A manifest in force and its tables."""
+
+    __slots__ = ("blocks", "limits", "manifest", "revision", "targets_by_service")
+
+    def __init__(self, revision: int, manifest: Manifest) -> None:
+        self.revision = revision
+        self.manifest = manifest
+        self.limits = build_limits(manifest)
+        self.blocks: BlockTable = build_block_table(manifest.client_blocks)
+        self.targets_by_service: dict[str, dict[str, Target]] = {}
+        for name, target in manifest.targets.items():
+            self.targets_by_service.setdefault(target.service, {})[name] = target
+
+    def find_organisation(self, key: str) -> str | None:
+        """Return the organisation that a key stands for."""
+        digest = digest_key(key)
+        entry = self.manifest.keys.get(digest)
+        return None if entry is None else entry.organisation
+
+    def list_stopping(self, kind: str, wall_ms: int) -> set[str]:
+        """List the targets or instances whose planned stop has begun."""
+        stops = self.manifest.planned_stops.items()
+        return {n for n, s in stops if s.kind == kind and s.starts_at_ms <= wall_ms}
+
+
+def digest_key(key: str) -> str:
+    """Return the digest under which a key is kept.
+
+    Only the digest is compared: to find a digest by its timing would not help to find a key.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def find_operator(config: Config | None, key: str, bootstrap_digest: str | None) -> Operator | None:
+    """Return the operator that a key stands for; the bootstrap operator may change all."""
+    digest = digest_key(key)
+    if bootstrap_digest is not None and hmac.compare_digest(digest, bootstrap_digest):
+        return Operator(name="bootstrap", services=["*"], organisations=["*"])
+    return None if config is None else config.manifest.operators.get(digest)
+
+
+def build_config(revision: int, value: Any) -> Config | None:
+    """Build the configuration of a replicated manifest value; None when it has faults."""
+    document = value.get("document") if isinstance(value, dict) else None
+    if document is None or list_faults(document):
+        return None
+    return Config(revision, parse_manifest(document))
--- /dev/null
+++ b/src/waxwingshelf/core/cuts.py
@@ -0,0 +1,94 @@
+"""Collect the reports of a consistent cut and decide when it is settled."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from waxwingshelf.core.fence import FENCE_WAIT_MS, HOLD_MARGIN_MS
+from waxwingshelf.core.ledger import Cut, Ledger
+from waxwingshelf.core.messages import CutReport
+
+__all__ = ["CutCollector", "CutResult"]
+
+
+@dataclass(frozen=True, slots=True)
+class CutResult:
+    """The sum of all holdings by budget, and who handed over to whom."""
+
+    held: dict[str, int]
+    departed: dict[str, str]
+
+
+class CutCollector:
+    """Gather reports at the coordinator of one cut.
+
+    A single silent holder is fenced once every other one has reported, since from then on nobody
+    acks it. Several silent holders may ack each other, so they are fenced only by a majority and
+    after the hold time, by which a cut-off minority has stopped. A majority never stops, so a
+    minority settles no such cut.
+    """
+
+    def __init__(self, cut: Cut, now_ms: int) -> None:
+        self.cut = cut
+        self._reports: dict[str, CutReport] = {}
+        self._last_report_ms = now_ms
+
+    def add(self, identity: str, report: CutReport, now_ms: int) -> None:
+        """Keep a report of this cut; a repeated one changes nothing."""
+        if report.number == self.cut.number and identity not in self._reports:
+            self._reports[identity] = report
+            self._last_report_ms = now_ms
+
+    def list_missing(self, ledger: Ledger) -> list[str]:
+        """List the identities whose reports are still needed."""
+        departed = self._find_departed(ledger)
+        return sorted(self._list_required(ledger, departed) - self._reports.keys())
+
+    def judge(self, ledger: Ledger, hold_ms: int, now_ms: int) -> CutResult | None:
+        """Return the result once the cut may be settled."""
+        departed = self._find_departed(ledger)
+        required = self._list_required(ledger, departed)
+        if required - self._reports.keys():
+            return None
+        wait_ms = self._find_wait_ms(ledger, hold_ms)
+        if wait_ms is None or now_ms - self._last_report_ms < wait_ms:
+            return None
+        return CutResult(self._sum_held(required), departed)
+
+    def _find_wait_ms(self, ledger: Ledger, hold_ms: int) -> int | None:
+        fenced = [name for name in self.cut.fenced if self._is_present(ledger, name)]
+        if not fenced:
+            return 0
+        if len(fenced) == 1:
+            return FENCE_WAIT_MS
+        if 2 * len(self._reports) <= len(ledger.holders):
+            return None
+        return hold_ms + HOLD_MARGIN_MS
+
+    def _is_present(self, ledger: Ledger, identity: str) -> bool:
+        return identity not in {departure.holder.identity for departure in ledger.departures}
+
+    def _list_required(self, ledger: Ledger, departed: dict[str, str]) -> set[str]:
+        holders = ledger.holders.values()
+        required = {holder.identity for holder in holders if holder.joined <= self.cut.started}
+        gone = {departure.holder.identity for departure in ledger.departures}
+        required |= {ledger.find_heir(identity) for identity in gone} - {""}
+        for identity in list(required):
+            report = self._reports.get(identity)
+            if report is not None:
+                required |= set(report.met)
+        required |= {heir for heir in departed.values() if heir}
+        return required - gone - departed.keys() - set(self.cut.fenced)
+
+    def _find_departed(self, ledger: Ledger) -> dict[str, str]:
+        departed: dict[str, str] = {}
+        for report in self._reports.values():
+            departed.update(report.departed)
+        return departed
+
+    def _sum_held(self, required: set[str]) -> dict[str, int]:
+        held: dict[str, int] = {}
+        for identity in required:
+            for budget, units in self._reports[identity].held.items():
+                held[budget] = held.get(budget, 0) + units
+        return held
--- /dev/null
+++ b/src/waxwingshelf/core/envelope.py
@@ -0,0 +1,139 @@
+"""Sealed envelopes: proof of the sender and protection from replays."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+from msgspec import Struct
+
+__all__ = ["PROTOCOL_VERSIONS", "Opened", "Rejection", "Sealer"]
+
+PROTOCOL_VERSION = 1
+PROTOCOL_VERSIONS = frozenset({PROTOCOL_VERSION})
+_TAG_BYTES = 16
+_WINDOW = 1_024
+_KEPT_SENDERS = 4_096
+
+
+class Rejection(StrEnum):
+    """Why an envelope was dropped."""
+
+    GARBLED = "garbled"
+    STRANGER = "stranger"
+    OTHER_VERSION = "other_version"
+    OTHER_RECIPIENT = "other_recipient"
+    REPLAY = "replay"
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """A proven envelope."""
+
+    sender: str
+    incarnation: int
+    payload: bytes
+
+    @property
+    def identity(self) -> str:
+        """Return the sender's identity."""
+        return f"{self.sender}#{self.incarnation}"
+
+
+class _Envelope(Struct, frozen=True, array_like=True):
+    fleet: str
+    version: int
+    sender: str
+    incarnation: int
+    recipient: str
+    sequence: int
+    payload: bytes
+
+
+class _Window:
+    """Remember which of the newest sequence numbers were seen."""
+
+    __slots__ = ("_highest", "_seen")
+
+    def __init__(self) -> None:
+        self._highest = 0
+        self._seen = 0
+
+    def admit(self, sequence: int) -> bool:
+        ahead = sequence - self._highest
+        if ahead > 0:
+            self._seen = ((self._seen << ahead) | 1) & ((1 << _WINDOW) - 1)
+            self._highest = sequence
+            return True
+        bit = 1 << -ahead
+        if -ahead >= _WINDOW or self._seen & bit:
+            return False
+        self._seen |= bit
+        return True
+
+
+class Sealer:
+    """Seal and open envelopes of one fleet.
+
+    The first secret seals; all of them open, so that a secret can be rotated without a stop.
+    """
+
+    def __init__(self, fleet: str, name: str, incarnation: int, secrets: list[str]) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._incarnation = incarnation
+        self._secrets = [secret.encode() for secret in secrets]
+        self._sequences: dict[str, int] = {}
+        self._windows: dict[tuple[str, int], _Window] = {}
+
+    def seal(self, recipient: str, payload: bytes) -> bytes:
+        """Wrap a payload for one recipient."""
+        sequence = self._sequences.get(recipient, 0) + 1
+        self._sequences[recipient] = sequence
+        body = msgspec.msgpack.encode(
+            _Envelope(
+                self._fleet,
+                PROTOCOL_VERSION,
+                self._name,
+                self._incarnation,
+                recipient,
+                sequence,
+                payload,
+            )
+        )
+        return _sign(self._secrets[0], body) + body
+
+    def open(self, data: bytes) -> Opened | Rejection:
+        """Check an envelope and return its payload, or why it is dropped."""
+        tag, body = data[:_TAG_BYTES], data[_TAG_BYTES:]
+        if not any(hmac.compare_digest(_sign(secret, body), tag) for secret in self._secrets):
+            return Rejection.STRANGER
+        try:
+            envelope = msgspec.msgpack.decode(body, type=_Envelope)
+        except msgspec.MsgspecError:
+            return Rejection.GARBLED
+        if envelope.fleet != self._fleet:
+            return Rejection.STRANGER
+        if envelope.version not in PROTOCOL_VERSIONS:
+            return Rejection.OTHER_VERSION
+        if envelope.recipient != self._name:
+            return Rejection.OTHER_RECIPIENT
+        if not self._admit(envelope):
+            return Rejection.REPLAY
+        return Opened(envelope.sender, envelope.incarnation, envelope.payload)
+
+    def _admit(self, envelope: _Envelope) -> bool:
+        origin = (envelope.sender, envelope.incarnation)
+        window = self._windows.get(origin)
+        if window is None:
+            if len(self._windows) >= _KEPT_SENDERS:
+                self._windows.pop(next(iter(self._windows)))
+            window = self._windows[origin] = _Window()
+        return window.admit(envelope.sequence)
+
+
+def _sign(secret: bytes, body: bytes) -> bytes:
+    return hmac.digest(secret, body, hashlib.sha256)[:_TAG_BYTES]
--- /dev/null
+++ b/src/waxwingshelf/core/member.py
@@ -0,0 +1,122 @@
+"""One member of the fleet: its protocols over one state, without sockets or an event loop."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec.structs import replace
+
+from waxwingshelf.core.claimdesk import ClaimDesk
+from waxwingshelf.core.clock import Clock
+from waxwingshelf.core.dispatch import Sender, collect_handlers
+from waxwingshelf.core.gossip import Gossip
+from waxwingshelf.core.holding import Holding
+from waxwingshelf.core.ledger import Holder, Ledger
+from waxwingshelf.core.messages import AddressedMessage, Message
+from waxwingshelf.core.recovery import Recovery
+from waxwingshelf.core.sharing import Sharing
+from waxwingshelf.core.state import LEDGER_DOCUMENT, MANIFEST_DOCUMENT, MemberOptions, NodeState
+
+__all__ = ["Member"]
+
+
+class Member:
+    """Take in messages, periods and reads of the key-value service; give out messages."""
+
+    def __init__(self, me: Holder, options: MemberOptions, clock: Clock, seed: int) -> None:
+        self.state = NodeState(me, options, clock, seed)
+        self.gossip = Gossip(self.state)
+        self.sharing = Sharing(self.state)
+        self.recovery = Recovery(self.state, self.sharing)
+        self.claims = ClaimDesk(self.state)
+        self._handlers = collect_handlers(self.gossip, self.sharing, self.recovery, self.claims)
+        self._half = False
+
+    def handle(self, sender: Sender, message: Message) -> None:
+        """Handle a message from a proven sender."""
+        version = self.state.documents[LEDGER_DOCUMENT].version
+        self._handlers[type(message)](sender, message)
+        self._follow(version)
+
+    def tick(self) -> None:
+        """Do the work of half a period."""
+        self._half = not self._half
+        if not self._half:
+            self.gossip.ask_helpers()
+            return
+        self.gossip.start_period()
+        self.sharing.start_period()
+        self.recovery.start_period()
+
+    def take_outbox(self) -> list[AddressedMessage]:
+        """Take the messages to send."""
+        return self.state.take_outbox()
+
+    def observe_manifest(self, version: int, value: Any) -> None:
+        """Take in the manifest as read from the key-value service."""
+        self._observe(MANIFEST_DOCUMENT, version, value)
+
+    def observe_ledger(self, version: int, value: Any, read_ms: int) -> None:
+        """Take in the ledger as read from the key-value service by a read begun at `read_ms`."""
+        known = self.state.documents[LEDGER_DOCUMENT].version
+        if self._observe(LEDGER_DOCUMENT, version, value):
+            self._follow(known)
+        if version >= self.state.documents[LEDGER_DOCUMENT].version:
+            self.state.fence.note_confirmation(read_ms)
+            if self.state.is_holder(self.state.me.identity):
+                self.state.fence.note_contact(read_ms)
+
+    def plan_ledger(self, ledger: Ledger | None, wanted_budgets: set[str] | None) -> Ledger | None:
+        """Plan the ledger that should follow the one just read, or None."""
+        return self.recovery.plan(ledger, wanted_budgets)
+
+    def take(self, budget: str) -> Holding | None:
+        """Use one token or place of a budget here; None when there is none to use.
+
+        The caller gives a place back to the holding that it got.
+        """
+        holding = self.state.shares.find(budget)
+        if holding is None or not self.state.may_use_shares():
+            return None
+        taken = holding.take(self.state.clock.now_ms())
+        self.sharing.ask_for(budget)
+        return holding if taken else None
+
+    def take_again(self, budget: str) -> Holding | None:
+        """Use one token for a request that `take` has counted already."""
+        holding = self.state.shares.find(budget)
+        if holding is None or not self.state.may_use_shares():
+            return None
+        return holding if holding.take_again(self.state.clock.now_ms()) else None
+
+    def must_rejoin(self) -> bool:
+        """Tell whether this incarnation was fenced and a new one has to take its place."""
+        return self.state.fence.fenced
+
+    def rejoin(self, incarnation: int, seed: int) -> Member:
+        """Build the next incarnation, which knows what this one knew and holds nothing."""
+        me = replace(self.state.me, incarnation=incarnation, joined=0)
+        member = Member(me, self.state.options, self.state.clock, seed)
+        for old, new in zip(self.state.documents, member.state.documents, strict=True):
+            if old.value is not None:
+                new.replace(old.version, old.value)
+        if self.state.config is not None:
+            member.state.adopt_config()
+        if self.state.ledger is not None and member.state.adopt_ledger():
+            member.recovery.follow_ledger()
+        for name in self.state.membership.list_alive():
+            rumour = self.state.membership.find(name)
+            if rumour is not None:
+                member.state.membership.hear(rumour, self.state.clock.now_ms())
+        return member
+
+    def _observe(self, number: int, version: int, value: Any) -> bool:
+        since = self.state.documents[number].version
+        if not self.state.replace_document(number, version, value):
+            return False
+        self.gossip.adopt(number, since)
+        return True
+
+    def _follow(self, since: int) -> None:
+        if self.state.documents[LEDGER_DOCUMENT].version != since:
+            self.recovery.follow_ledger()
--- /dev/null
+++ b/src/waxwingshelf/core/membership.py
@@ -0,0 +1,266 @@
+"""Membership by gossip, after SWIM (Das, Gupta and Motivala, 2002).
+
+Each period one member is pinged; when no ack comes, others ping it on our behalf. The load on a
+member does not grow with the fleet. Being silent is not being dead: a member that was declared
+dead can refute that by a higher beat, and nothing is taken from it on the word of gossip alone.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from msgspec.structs import replace
+
+from waxwingshelf.core.ledger import Holder, Ledger
+from waxwingshelf.core.messages import Rumour
+
+__all__ = ["MemberState", "Membership", "Probe"]
+
+_HELPERS = 3
+_RUMOURS_PER_MESSAGE = 6
+_SPREAD_FACTOR = 3
+_SUSPICION_FACTOR = 3
+_RETRY_DEAD_EVERY = 4
+
+
+class MemberState(StrEnum):
+    """What is believed of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEFT = "left"
+
+
+_PRECEDENCE = {state.value: place for place, state in enumerate(MemberState)}
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Members to ping directly, and members to ask for a ping of `subject`."""
+
+    direct: list[str]
+    helpers: list[str]
+    subject: str
+
+
+@dataclass(slots=True)
+class _Entry:
+    rumour: Rumour
+    since_ms: int
+    acked_ms: int
+
+
+class Membership:
+    """Keep what one member believes of all others."""
+
+    def __init__(self, me: Holder, period_ms: int, rng: random.Random) -> None:
+        self.me = me
+        self.period_ms = period_ms
+        self._rng = rng
+        self._own = _describe(me)
+        self._entries: dict[str, _Entry] = {}
+        self._sends_left: dict[str, int] = {}
+        self._order: list[str] = []
+        self._pending: str | None = None
+        self._turn = 0
+        self._spread(me.name)
+
+    def list_alive(self) -> list[str]:
+        """List the names of other members that are not known to be dead or gone."""
+        wanted = (MemberState.ALIVE, MemberState.SUSPECT)
+        return [name for name, entry in self._entries.items() if entry.rumour.state in wanted]
+
+    def list_identities(self) -> set[str]:
+        """List the identities of live members, the own one included."""
+        alive = {_identify(self._entries[name].rumour) for name in self.list_alive()}
+        alive.add(self.me.identity)
+        return alive
+
+    def find(self, name: str) -> Rumour | None:
+        """Return what is believed of a member."""
+        if name == self.me.name:
+            return self._own
+        entry = self._entries.get(name)
+        return None if entry is None else entry.rumour
+
+    def list_dead(self, older_than_ms: int, now_ms: int) -> list[str]:
+        """List identities that have been dead for some time."""
+        return [
+            _identify(entry.rumour)
+            for entry in self._entries.values()
+            if entry.rumour.state == MemberState.DEAD and now_ms - entry.since_ms >= older_than_ms
+        ]
+
+    def list_left(self) -> dict[str, str]:
+        """Map the identities of members that left in order to their heirs."""
+        return {
+            _identify(entry.rumour): entry.rumour.heir
+            for entry in self._entries.values()
+            if entry.rumour.state == MemberState.LEFT
+        }
+
+    def follow_ledger(self, ledger: Ledger, now_ms: int) -> None:
+        """Learn of holders that gossip has not mentioned yet."""
+        for holder in ledger.holders.values():
+            entry = self._entries.get(holder.name)
+            known = entry is not None and entry.rumour.incarnation >= holder.incarnation
+            if holder.name != self.me.name and not known:
+                self._entries[holder.name] = _Entry(_describe(holder), now_ms, now_ms)
+        for departure in ledger.departures:
+            entry = self._entries.get(departure.holder.name)
+            if entry is not None and entry.rumour.incarnation == departure.holder.incarnation:
+                del self._entries[departure.holder.name]
+
+    def announce_stop(self) -> None:
+        """Tell others that this member takes no new callers."""
+        self._own = replace(self._own, beat=self._own.beat + 1, stopping=True)
+        self._spread(self.me.name)
+
+    def leave(self, heir: str) -> None:
+        """Tell others that this member leaves in order."""
+        self._own = replace(self._own, state=MemberState.LEFT.value, heir=heir)
+        self._spread(self.me.name)
+
+    def hear(self, rumour: Rumour, now_ms: int) -> bool:
+        """Take in a rumour; True when it was news."""
+        if rumour.name == self.me.name:
+            return self._refute(rumour)
+        entry = self._entries.get(rumour.name)
+        if entry is not None and not _is_newer(rumour, entry.rumour):
+            return False
+        if entry is None and rumour.state in (MemberState.DEAD, MemberState.LEFT):
+            return False
+        acked_ms = now_ms if entry is None else entry.acked_ms
+        self._entries[rumour.name] = _Entry(rumour, now_ms, acked_ms)
+        self._spread(rumour.name)
+        return True
+
+    def note_ack(self, name: str, incarnation: int, now_ms: int) -> None:
+        """Note that a member answered, directly or through a helper."""
+        entry = self._entries.get(name)
+        if entry is None or entry.rumour.incarnation != incarnation:
+            return
+        entry.acked_ms = now_ms
+        if name == self._pending:
+            self._pending = None
+        if entry.rumour.state == MemberState.SUSPECT:
+            entry.rumour = replace(entry.rumour, state=MemberState.ALIVE.value)
+            entry.since_ms = now_ms
+
+    def start_period(self, now_ms: int) -> Probe:
+        """Judge the last period's probe and choose whom to ping next."""
+        if self._pending is not None:
+            self._suspect(self._pending, now_ms)
+        self._bury_suspects(now_ms)
+        self._turn += 1
+        self._pending = self._choose_next()
+        direct = [] if self._pending is None else [self._pending]
+        if self._turn % _RETRY_DEAD_EVERY == 0:
+            direct += self._choose_dead()
+        return Probe(direct, [], "")
+
+    def ask_helpers(self) -> Probe | None:
+        """Choose helpers when the pinged member has not answered by half of the period."""
+        if self._pending is None:
+            return None
+        others = [name for name in self.list_alive() if name != self._pending]
+        helpers = self._rng.sample(others, min(_HELPERS, len(others)))
+        return Probe([], helpers, self._pending)
+
+    def sample_alive(self, count: int) -> list[str]:
+        """Choose some live members at random."""
+        alive = self.list_alive()
+        return self._rng.sample(alive, min(count, len(alive)))
+
+    def take_rumours(self) -> list[Rumour]:
+        """Take the rumours to send with the next message, the least spread first."""
+        names = sorted(self._sends_left, key=lambda name: -self._sends_left[name])
+        rumours = []
+        for name in names[:_RUMOURS_PER_MESSAGE]:
+            self._sends_left[name] -= 1
+            if self._sends_left[name] <= 0:
+                del self._sends_left[name]
+            rumour = self.find(name)
+            if rumour is not None:
+                rumours.append(rumour)
+        return rumours
+
+    def describe_self(self) -> Rumour:
+        """Return the rumour of this member itself."""
+        return self._own
+
+    def _refute(self, rumour: Rumour) -> bool:
+        same = rumour.incarnation == self._own.incarnation
+        if not same or rumour.beat < self._own.beat or rumour.state == self._own.state:
+            return False
+        self._own = replace(self._own, beat=rumour.beat + 1)
+        self._spread(self.me.name)
+        return True
+
+    def _spread(self, name: str) -> None:
+        members = len(self._entries) + 1
+        self._sends_left[name] = _SPREAD_FACTOR * math.ceil(math.log2(members + 1))
+
+    def _suspect(self, name: str, now_ms: int) -> None:
+        entry = self._entries.get(name)
+        if entry is not None and entry.rumour.state == MemberState.ALIVE:
+            entry.rumour = replace(entry.rumour, state=MemberState.SUSPECT.value)
+            entry.since_ms = now_ms
+            self._spread(name)
+
+    def _bury_suspects(self, now_ms: int) -> None:
+        members = len(self._entries) + 1
+        limit_ms = int(_SUSPICION_FACTOR * math.log2(members + 1) * self.period_ms)
+        for name, entry in self._entries.items():
+            suspect = entry.rumour.state == MemberState.SUSPECT
+            if suspect and now_ms - entry.since_ms >= limit_ms:
+                entry.rumour = replace(entry.rumour, state=MemberState.DEAD.value)
+                entry.since_ms = now_ms
+                self._spread(name)
+
+    def _choose_next(self) -> str | None:
+        alive = set(self.list_alive())
+        if not alive:
+            return None
+        while True:
+            if not self._order:
+                self._order = sorted(alive)
+                self._rng.shuffle(self._order)
+            name = self._order.pop()
+            if name in alive:
+                return name
+
+    def _choose_dead(self) -> list[str]:
+        dead = [n for n, e in self._entries.items() if e.rumour.state == MemberState.DEAD]
+        return [self._rng.choice(dead)] if dead else []
+
+
+def _describe(holder: Holder) -> Rumour:
+    return Rumour(
+        name=holder.name,
+        incarnation=holder.incarnation,
+        beat=0,
+        state=MemberState.ALIVE.value,
+        region=holder.region,
+        failure_domain=holder.failure_domain,
+        host=holder.host,
+        port=holder.port,
+        peer_port=holder.peer_port,
+    )
+
+
+def _identify(rumour: Rumour) -> str:
+    return f"{rumour.name}#{rumour.incarnation}"
+
+
+def _is_newer(rumour: Rumour, known: Rumour) -> bool:
+    return _rank_rumour(rumour) > _rank_rumour(known)
+
+
+def _rank_rumour(rumour: Rumour) -> tuple[int, bool, int, int]:
+    left = rumour.state == MemberState.LEFT
+    return (rumour.incarnation, left, rumour.beat, _PRECEDENCE.get(rumour.state, 0))
--- /dev/null
+++ b/src/waxwingshelf/core/recovery.py
@@ -0,0 +1,175 @@
+"""Follow the ledger, take part in cuts, and plan the ledger's next version."""
+
+from __future__ import annotations
+
+from waxwingshelf.core.cuts import CutCollector
+from waxwingshelf.core.dispatch import Sender, handles
+from waxwingshelf.core.ledger import (
+    Cut,
+    Ledger,
+    add_holder,
+    build_ledger,
+    issue_budgets,
+    remove_holder,
+    settle_cut,
+    start_cut,
+)
+from waxwingshelf.core.messages import CutReport
+from waxwingshelf.core.sharing import Sharing
+from waxwingshelf.core.state import NodeState
+
+__all__ = ["AUDIT_PERIOD_MS", "Recovery"]
+
+AUDIT_PERIOD_MS = 600_000
+_FENCE_DELAY_MS = 2_000
+_DUTY_COORDINATOR = "coordinator"
+_DUTY_READER = "reader"
+_READERS = 2
+
+
+class Recovery:
+    """Recover the shares of holders that are gone, and those lost between holders."""
+
+    def __init__(self, state: NodeState, sharing: Sharing) -> None:
+        self._state = state
+        self._sharing = sharing
+        self._collector: CutCollector | None = None
+        self._report: CutReport | None = None
+        self._report_to = ""
+        self._audited_ms = state.clock.now_ms()
+
+    def is_reader(self) -> bool:
+        """Tell whether this member keeps a watch on the key-value service for others."""
+        ledger = self._state.ledger
+        if ledger is None or ledger.find(self._state.me.identity) is None:
+            return True
+        ranked = ledger.rank_holders(_DUTY_READER, self._state.membership.list_identities())
+        return self._state.me.identity in ranked[:_READERS] or self._is_coordinator(ledger)
+
+    def follow_ledger(self) -> None:
+        """React to a ledger that has just been put in force."""
+        state = self._state
+        ledger = state.ledger
+        if ledger is None:
+            return
+        now_ms = state.clock.now_ms()
+        me = state.me.identity
+        if state.is_fenced(me) and not self._sharing.has_left():
+            state.fence.fenced = True
+            state.shares.clear()
+            return
+        state.membership.follow_ledger(ledger, now_ms)
+        holder = ledger.find(me)
+        if holder is not None:
+            state.shares.begin(holder.joined)
+        if ledger.settled_cut > state.shares.cut:
+            # Whoever was not part of a settled cut had its units issued again.
+            state.shares.clear()
+            state.shares.cut = ledger.settled_cut
+        state.shares.follow_ledger(ledger, now_ms)
+        if ledger.cut is not None:
+            self._enter_cut(ledger, ledger.cut, now_ms)
+        else:
+            self._report = None
+            self._collector = None
+
+    def start_period(self) -> None:
+        """Send the report of a cut again until the ledger moves on."""
+        if self._report is not None and self._report_to != self._state.me.name:
+            self._state.send(self._report_to, self._report)
+
+    @handles(CutReport)
+    def on_report(self, sender: Sender, report: CutReport) -> None:
+        """Collect a report as the coordinator."""
+        if self._collector is not None and not self._state.is_fenced(sender.identity):
+            self._collector.add(sender.identity, report, self._state.clock.now_ms())
+
+    def plan(self, ledger: Ledger | None, wanted_budgets: set[str] | None) -> Ledger | None:
+        """Plan the ledger that should follow the one just read, or None.
+
+        `wanted_budgets` are those of the manifest read at the same time, or None without one.
+        """
+        state = self._state
+        me = state.me.identity
+        if ledger is None:
+            return None if self._sharing.leaving else build_ledger(state.me)
+        if ledger.find(me) is None:
+            if self._sharing.leaving or state.fence.fenced or state.is_fenced(me):
+                return None
+            return add_holder(ledger, state.me)
+        if self._sharing.has_left():
+            return remove_holder(ledger, me, self._sharing.heir_identity, me)
+        if not self._is_coordinator(ledger):
+            return None
+        return self._plan_duties(ledger, wanted_budgets)
+
+    def _plan_duties(self, ledger: Ledger, wanted_budgets: set[str] | None) -> Ledger | None:
+        state = self._state
+        me = state.me.identity
+        for identity, heir in state.membership.list_left().items():
+            if ledger.find(identity) is not None:
+                return remove_holder(ledger, identity, heir, me)
+        if ledger.cut is not None:
+            return self._plan_cut(ledger, ledger.cut)
+        if wanted_budgets is not None:
+            issued = issue_budgets(ledger, wanted_budgets, me)
+            if issued is not ledger:
+                return issued
+        dead = self._list_dead(ledger)
+        due = state.clock.now_ms() - self._audited_ms >= AUDIT_PERIOD_MS
+        if dead or ledger.audit_due or (due and len(ledger.holders) > 1):
+            self._audited_ms = state.clock.now_ms()
+            return start_cut(ledger, me, dead)
+        return None
+
+    def _plan_cut(self, ledger: Ledger, cut: Cut) -> Ledger | None:
+        state = self._state
+        me = state.me.identity
+        dead = self._list_dead(ledger)
+        collector = self._collector
+        if cut.coordinator != me or collector is None or collector.cut.number != cut.number:
+            return start_cut(ledger, me, dead)
+        now_ms = state.clock.now_ms()
+        result = collector.judge(ledger, state.hold_ms(), now_ms)
+        if result is not None:
+            return settle_cut(ledger, result.held, result.departed, me)
+        blocked = self._list_blocking(ledger, collector)
+        if blocked - set(cut.fenced):
+            return start_cut(ledger, me, sorted(set(dead) | blocked))
+        return None
+
+    def _list_blocking(self, ledger: Ledger, collector: CutCollector) -> set[str]:
+        dead = set(self._state.membership.list_dead(_FENCE_DELAY_MS, self._state.clock.now_ms()))
+        return dead & set(collector.list_missing(ledger))
+
+    def _list_dead(self, ledger: Ledger) -> list[str]:
+        dead = self._state.membership.list_dead(_FENCE_DELAY_MS, self._state.clock.now_ms())
+        return [identity for identity in dead if ledger.find(identity) is not None]
+
+    def _is_coordinator(self, ledger: Ledger) -> bool:
+        alive = self._state.membership.list_identities()
+        ranked = ledger.rank_holders(_DUTY_COORDINATOR, alive)
+        return ranked[:1] == [self._state.me.identity]
+
+    def _enter_cut(self, ledger: Ledger, cut: Cut, now_ms: int) -> None:
+        state = self._state
+        me = state.me.identity
+        if cut.number > state.shares.cut:
+            state.shares.cut = cut.number
+            self._sharing.void_pending()
+            present = {h.identity for h in ledger.holders.values() if h.joined <= cut.started}
+            state.shares.met -= present
+            self._report = CutReport(
+                cut.number,
+                state.shares.count_held(),
+                sorted(state.shares.met),
+                dict(state.departed),
+            )
+            self._report_to = cut.coordinator.partition("#")[0]
+        if cut.coordinator == me:
+            if self._collector is None or self._collector.cut.number != cut.number:
+                self._collector = CutCollector(cut, now_ms)
+            if self._report is not None and self._report.number == cut.number:
+                self._collector.add(me, self._report, now_ms)
+        elif self._report is not None:
+            state.send(self._report_to, self._report)
--- /dev/null
+++ b/src/waxwingshelf/core/shares.py
@@ -0,0 +1,218 @@
+"""All shares that one instance holds, and the rules by which units move."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from waxwingshelf.core.budgets import find_kind
+from waxwingshelf.core.holding import HOLDING_KINDS, TOTAL_UNITS, Gift, Holding, Limit
+from waxwingshelf.core.ledger import Ledger
+from waxwingshelf.core.messages import ShareHint, ShareRequest, ShareTransfer
+
+__all__ = ["ShareBook", "Shortage"]
+
+_MIN_PAUSE_MS = 40
+_MAX_PAUSE_MS = 1_000
+_ASKED_PEERS = 3
+_KEPT_HINTS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """Units that are needed here, and the peers to ask in turn."""
+
+    request: ShareRequest
+    peers: list[str]
+
+
+class _Account:
+    """A holding with its generation and how it fares when it asks for more."""
+
+    __slots__ = ("asked_ms", "fresh", "generation", "hints", "holding", "next_peer", "pause_ms")
+
+    def __init__(self, holding: Holding, generation: int) -> None:
+        self.holding = holding
+        self.generation = generation
+        self.pause_ms = _MIN_PAUSE_MS
+        self.asked_ms = -_MAX_PAUSE_MS
+        self.next_peer = 0
+        self.fresh = True
+        self.hints: dict[str, int] = {}
+
+
+class ShareBook:
+    """Keep the instance's part of every budget.
+
+    Units enter by a grant of the ledger or by a transfer, and leave by a transfer that is written
+    off before it is sent. A transfer belongs to a cut: one that was sent before a cut and arrives
+    after it is dropped, and the cut finds it missing.
+    """
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.cut = 0
+        self.met: set[str] = set()
+        self._granted_version = 0
+        self._accounts: dict[str, _Account] = {}
+        self._limits: dict[str, Limit] = {}
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._accounts)
+
+    def find(self, budget: str) -> Holding | None:
+        """Return the holding in a budget, or None when the budget is not issued."""
+        account = self._accounts.get(budget)
+        return None if account is None else account.holding
+
+    def set_limits(self, limits: dict[str, Limit], now_ms: int) -> None:
+        """Take over the sizes of all budgets."""
+        self._limits = limits
+        for budget, account in self._accounts.items():
+            if budget in limits:
+                account.holding.resize(limits[budget], now_ms)
+
+    def follow_ledger(self, ledger: Ledger, now_ms: int) -> None:
+        """Open accounts for issued budgets, close retired ones and apply new grants once."""
+        for budget in [name for name in self._accounts if name not in ledger.issued]:
+            del self._accounts[budget]
+        for budget, generation in ledger.issued.items():
+            account = self._accounts.get(budget)
+            if account is None or account.generation != generation:
+                self._open(budget, generation, now_ms)
+        self._apply_grants(ledger, now_ms)
+
+    def begin(self, joined: int) -> None:
+        """Start as a holder that joined at a version: earlier grants are not for it."""
+        self._granted_version = max(self._granted_version, joined)
+
+    def clear(self) -> None:
+        """Drop every unit."""
+        self._accounts.clear()
+        self.met.clear()
+
+    def count_held(self) -> dict[str, int]:
+        """Count the units held by budget."""
+        return {budget: account.holding.units for budget, account in self._accounts.items()}
+
+    def grant(self, request: ShareRequest, recipient: str, now_ms: int) -> ShareTransfer:
+        """Write off what can be spared for a recipient, which may be nothing."""
+        account = self._accounts.get(request.budget)
+        gift = Gift(0, 0.0)
+        if account is not None and account.generation == request.generation:
+            units = min(request.units, account.holding.spare_units(now_ms))
+            if units > 0:
+                gift = account.holding.give(units, now_ms)
+                self.met.add(recipient)
+        return self._build_transfer(recipient, request.budget, request.generation, gift)
+
+    def give_all(self, recipient: str, now_ms: int) -> list[ShareTransfer]:
+        """Write off everything for one recipient."""
+        transfers = []
+        for budget, account in self._accounts.items():
+            gift = account.holding.give(account.holding.units, now_ms)
+            transfers.append(self._build_transfer(recipient, budget, account.generation, gift))
+        self.met.add(recipient)
+        return transfers
+
+    def accept(self, transfer: ShareTransfer, sender: str, now_ms: int) -> bool:
+        """Add transferred units; False when they are dropped."""
+        if transfer.recipient != self.identity or transfer.cut != self.cut:
+            return False
+        account = self._accounts.get(transfer.budget)
+        if account is None or account.generation != transfer.generation:
+            return False
+        account.hints.pop(sender, None)
+        account.fresh = False
+        if transfer.units <= 0:
+            account.pause_ms = min(account.pause_ms * 2, _MAX_PAUSE_MS)
+            return True
+        account.pause_ms = _MIN_PAUSE_MS
+        account.holding.receive(Gift(transfer.units, transfer.tokens), now_ms)
+        return True
+
+    def note_hints(self, sender: str, hints: list[ShareHint]) -> None:
+        """Remember who could spare units."""
+        for hint in hints:
+            account = self._accounts.get(hint.budget)
+            if account is None:
+                continue
+            account.hints.pop(sender, None)
+            account.hints[sender] = hint.units
+            while len(account.hints) > _KEPT_HINTS:
+                account.hints.pop(next(iter(account.hints)))
+
+    def list_hints(self, most: int, turn: int, now_ms: int) -> list[ShareHint]:
+        """List up to `most` budgets with spare units, another part of them each turn."""
+        budgets = list(self._accounts)
+        hints = []
+        for offset in range(min(most, len(budgets))):
+            budget = budgets[(turn * most + offset) % len(budgets)]
+            spare = self._accounts[budget].holding.spare_units(now_ms)
+            if spare > 0:
+                hints.append(ShareHint(budget, spare))
+        return hints
+
+    def may_come_soon(self, budget: str) -> bool:
+        """Tell whether peers that were asked for a budget have lately had some to spare."""
+        account = self._accounts.get(budget)
+        return account is not None and account.pause_ms <= 2 * _MIN_PAUSE_MS
+
+    def find_shortage(self, budget: str, peers: list[str], now_ms: int) -> Shortage | None:
+        """Tell what to ask for a budget now, or None when nothing is short or a pause runs."""
+        account = self._accounts.get(budget)
+        if account is None or not peers or now_ms - account.asked_ms < account.pause_ms:
+            return None
+        need = account.holding.need_units(now_ms) - account.holding.units
+        if account.fresh:
+            # A new holder asks for an equal part, so that its first callers need not wait.
+            need = max(need, TOTAL_UNITS // (len(peers) + 1) - account.holding.units)
+        if need <= 0:
+            return None
+        account.asked_ms = now_ms
+        request = ShareRequest(budget, account.generation, min(need, TOTAL_UNITS))
+        return Shortage(request, self._choose_peers(account, peers))
+
+    def _choose_peers(self, account: _Account, peers: list[str]) -> list[str]:
+        known = sorted(account.hints, key=lambda name: account.hints[name], reverse=True)
+        chosen = [name for name in known if name in peers][:_ASKED_PEERS]
+        for _ in range(min(len(peers), _ASKED_PEERS - len(chosen))):
+            account.next_peer = (account.next_peer + 1) % len(peers)
+            if peers[account.next_peer] not in chosen:
+                chosen.append(peers[account.next_peer])
+        return chosen
+
+    def _build_transfer(
+        self, recipient: str, budget: str, generation: int, gift: Gift
+    ) -> ShareTransfer:
+        return ShareTransfer(recipient, self.cut, budget, generation, gift.units, gift.tokens)
+
+    def _open(self, budget: str, generation: int, now_ms: int) -> None:
+        limit = self._limits.get(budget, Limit(find_kind(budget), 0.0))
+        self._accounts[budget] = _Account(HOLDING_KINDS[limit.kind](limit, now_ms), generation)
+
+    def _apply_grants(self, ledger: Ledger, now_ms: int) -> None:
+        for grant in ledger.grants:
+            if grant.version <= self._granted_version:
+                continue
+            self._granted_version = grant.version
+            if ledger.knows_roster(grant.version):
+                self._apply_grant(ledger, grant.version, grant.units, now_ms)
+
+    def _apply_grant(
+        self, ledger: Ledger, version: int, units: dict[str, int], now_ms: int
+    ) -> None:
+        roster = [holder.identity for holder in ledger.list_roster(version)]
+        if self.identity not in roster:
+            return
+        place = roster.index(self.identity)
+        for budget, total in units.items():
+            account = self._accounts.get(budget)
+            if account is None or account.generation > version:
+                continue
+            part = total // len(roster) + (total % len(roster) if place == 0 else 0)
+            full = account.holding.limit.size * part / TOTAL_UNITS
+            account.fresh = False
+            account.holding.receive(
+                Gift(part, full if version == account.generation else 0), now_ms
+            )
--- /dev/null
+++ b/src/waxwingshelf/core/targets.py
@@ -0,0 +1,184 @@
+"""What one instance knows of its targets, and which of them may take a request."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from waxwingshelf.core.manifest import Service, Target
+
+__all__ = ["Attempt", "Health", "TargetState", "TargetTable"]
+
+_REPORT_LIFE_MS = 500
+_WARM_UP_MS = 10_000
+_PROBE_LIFE_MS = 15_000
+_WINDOW = 20
+_MIN_OBSERVED = 5
+_FAILURE_SHARE = 0.5
+_SLOW_FACTOR = 4.0
+_EJECTION_MS = 5_000
+_MAX_EJECTED_SHARE = 0.5
+_LATENCY_WEIGHT = 0.1
+
+
+class Health(StrEnum):
+    """What a target's health endpoint said last."""
+
+    UNKNOWN = "unknown"
+    HEALTHY = "healthy"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt at a target that has ended; `failed` means the target's fault."""
+
+    target: str
+    latency_ms: int
+    failed: bool
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What is known of one target.
+
+    `reported` is the load the target gave, valid for a short time from `reported_ms`.
+    """
+
+    name: str
+    target: Target
+    slots: int
+    in_flight: int = 0
+    reported: int = 0
+    reported_ms: int = -_REPORT_LIFE_MS
+    health: Health = Health.UNKNOWN
+    health_ms: int = 0
+    warm_since_ms: int = -_WARM_UP_MS
+    ejected_until_ms: int = 0
+    latency_ms: float = 0.0
+    outcomes: deque[bool] = field(default_factory=lambda: deque(maxlen=_WINDOW))
+
+    def load(self, now_ms: int) -> int:
+        """Return the larger of the own requests in flight and a fresh report."""
+        if now_ms - self.reported_ms <= _REPORT_LIFE_MS:
+            return max(self.in_flight, self.reported)
+        return self.in_flight
+
+    def usable_slots(self, now_ms: int) -> int:
+        """Return the slots that may be used; a target that came back warms up."""
+        warmth = min(1.0, (now_ms - self.warm_since_ms) / _WARM_UP_MS)
+        return max(1, int(self.slots * warmth))
+
+    def has_room(self, now_ms: int) -> bool:
+        """Tell whether another request fits into the slots as far as is known."""
+        return self.load(now_ms) < self.usable_slots(now_ms)
+
+
+class TargetTable:
+    """Track the targets of one service."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._states: dict[str, TargetState] = {}
+        self._stopping: set[str] = set()
+
+    def update(self, service: Service, targets: dict[str, Target], stopping: set[str]) -> None:
+        """Take over targets and planned stops from a manifest."""
+        self._service = service
+        self._stopping = stopping
+        for name in [name for name in self._states if name not in targets]:
+            del self._states[name]
+        for name, target in targets.items():
+            slots = target.slots or service.slots
+            state = self._states.get(name)
+            if state is None or state.target != target:
+                self._states[name] = TargetState(name, target, slots)
+            else:
+                state.slots = slots
+
+    def find(self, name: str) -> TargetState | None:
+        """Return a target's state."""
+        return self._states.get(name)
+
+    def list_states(self) -> list[TargetState]:
+        """List all targets."""
+        return list(self._states.values())
+
+    def list_usable(self, region: str, excluded: set[str], now_ms: int) -> list[TargetState]:
+        """List a region's targets that may take a request now."""
+        return [
+            state
+            for state in self._states.values()
+            if state.target.region == region
+            and state.name not in excluded
+            and self._is_open(state, now_ms)
+            and state.has_room(now_ms)
+        ]
+
+    def count_slots(self, region: str, now_ms: int) -> int:
+        """Count the slots of a region's targets that are open for work."""
+        return sum(
+            state.usable_slots(now_ms)
+            for state in self._states.values()
+            if state.target.region == region and self._is_open(state, now_ms)
+        )
+
+    def note_health(self, name: str, health: Health, now_ms: int) -> None:
+        """Take in what a probe found; a target that comes back starts to warm up."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        if health is Health.HEALTHY and state.health in (Health.DOWN, Health.DRAINING):
+            state.warm_since_ms = now_ms
+        state.health = health
+        state.health_ms = now_ms
+
+    def note_report(self, name: str, load: int, now_ms: int) -> None:
+        """Take in the load that a target reported."""
+        state = self._states.get(name)
+        if state is not None:
+            state.reported = load
+            state.reported_ms = now_ms
+
+    def note_attempt(self, attempt: Attempt, now_ms: int) -> None:
+        """Judge a target by its answers, whatever its reports say."""
+        state = self._states.get(attempt.target)
+        if state is None:
+            return
+        state.outcomes.append(attempt.failed)
+        if not attempt.failed:
+            state.latency_ms += _LATENCY_WEIGHT * (attempt.latency_ms - state.latency_ms)
+        if self._is_outlier(state) and self._may_eject(state, now_ms):
+            state.ejected_until_ms = now_ms + _EJECTION_MS
+            state.outcomes.clear()
+            state.warm_since_ms = now_ms + _EJECTION_MS
+
+    def _is_open(self, state: TargetState, now_ms: int) -> bool:
+        if state.name in self._stopping or state.ejected_until_ms > now_ms:
+            return False
+        fresh = now_ms - state.health_ms <= _PROBE_LIFE_MS
+        return not (fresh and state.health in (Health.DRAINING, Health.DOWN))
+
+    def _is_outlier(self, state: TargetState) -> bool:
+        observed = len(state.outcomes)
+        if observed < _MIN_OBSERVED:
+            return False
+        if sum(state.outcomes) / observed >= _FAILURE_SHARE:
+            return True
+        others = sorted(
+            other.latency_ms
+            for other in self._states.values()
+            if other is not state and len(other.outcomes) >= _MIN_OBSERVED
+        )
+        if not others:
+            return False
+        typical = others[len(others) // 2]
+        return typical > 0 and state.latency_ms > _SLOW_FACTOR * typical
+
+    def _may_eject(self, state: TargetState, now_ms: int) -> bool:
+        region = state.target.region
+        peers = [other for other in self._states.values() if other.target.region == region]
+        ejected = sum(1 for other in peers if other.ejected_until_ms > now_ms)
+        return (ejected + 1) / len(peers) <= _MAX_EJECTED_SHARE
--- /dev/null
+++ b/src/waxwingshelf/program/client.py
@@ -0,0 +1,74 @@
+"""A client of the administration API."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import msgspec
+
+__all__ = ["AdminClient", "AdminError"]
+
+_TIMEOUT_S = 20.0
+
+
+class AdminError(Exception):
+    """The API refused, or no instance answered; `problem` is an RFC 9457 document."""
+
+    def __init__(self, problem: dict[str, Any]) -> None:
+        super().__init__(problem.get("title", ""))
+        self.problem = problem
+
+    @property
+    def reason(self) -> str:
+        """Return the reason's name."""
+        return str(self.problem.get("reason", ""))
+
+
+class AdminClient:
+    """Call one instance."""
+
+    def __init__(self, address: str, key: str) -> None:
+        self._address = address
+        self._key = key
+
+    def get(self, path: str) -> Any:
+        """Read a page."""
+        return self._call("GET", path, None)
+
+    def post(self, path: str) -> Any:
+        """Ask for an action."""
+        return self._call("POST", path, None)
+
+    def change(self, body: dict[str, Any]) -> Any:
+        """Submit a change of the manifest."""
+        return self._call("PUT", "manifest", body)
+
+    def _call(self, method: str, path: str, body: Any) -> Any:
+        return asyncio.run(self._request(method, path, body))
+
+    async def _request(self, method: str, path: str, body: Any) -> Any:
+        url = f"http://{self._address}/admin/v1/{path}"
+        headers = {"Authorization": f"Bearer {self._key}"}
+        data = None if body is None else msgspec.json.encode(body)
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(method, url, headers=headers, data=data) as response,
+            ):
+                answer = msgspec.json.decode(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+            raise AdminError(
+                {
+                    "title": "The instance does not answer",
+                    "reason": "store_unavailable",
+                    "step": "administer",
+                    "peer": self._address,
+                    "detail": repr(error),
+                }
+            ) from None
+        if response.status != 200:
+            raise AdminError(answer)
+        return answer
--- /dev/null
+++ b/src/waxwingshelf/program/instance.py
@@ -0,0 +1,133 @@
+"""One entry instance: its tasks from start to graceful shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import structlog
+from aiohttp import web
+
+from waxwingshelf.adapters.metrics_statsd import StatsdMetrics
+from waxwingshelf.adapters.peers_nng import NngTransport
+from waxwingshelf.adapters.store_http import HttpStore
+from waxwingshelf.adapters.target_http import TargetClient
+from waxwingshelf.core.clock import SystemClock
+from waxwingshelf.program.administration import Administration
+from waxwingshelf.program.control import Control
+from waxwingshelf.program.dispatcher import Dispatcher
+from waxwingshelf.program.lookups import Lookups
+from waxwingshelf.program.prober import Prober
+from waxwingshelf.program.requests import RequestPath
+from waxwingshelf.program.settings import Settings
+
+__all__ = ["run_instance"]
+
+_POLL_S = 0.05
+_LEAVE_LIMIT_S = 10.0
+_TTL_MARGIN_S = 1.0
+_DEFAULT_TTL_MS = 5_000
+_MS_PER_S = 1_000
+_MAX_HEADER_BYTES = 16_384
+_log = structlog.get_logger("instance")
+
+
+async def run_instance(settings: Settings) -> None:
+    """Serve until SIGTERM or SIGINT; a second signal skips the rest of the drain."""
+    instance = _Instance(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, instance.stop)
+    await instance.run()
+
+
+class _Instance:
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._stops = 0
+        self._stopped = asyncio.Event()
+        clock = SystemClock()
+        self._metrics = StatsdMetrics(settings.statsd_host, settings.statsd_port)
+        self._store = HttpStore(settings.store_host, settings.store_port)
+        self._transport = NngTransport(settings.host, settings.peer_port)
+        self._client = TargetClient()
+        self._control = Control(settings, self._store, self._transport, clock, self._metrics)
+        self._dispatcher = Dispatcher(
+            self._control, self._client, clock, self._metrics, settings.region
+        )
+        self._prober = Prober(
+            self._control, self._dispatcher, self._client, clock, self._metrics, settings.region
+        )
+        self._requests = RequestPath(self._control, self._dispatcher, clock, self._metrics)
+        self._lookups = Lookups(self._control, clock, self._metrics, settings.region)
+        self._administration = Administration(
+            settings, self._control, self._store, clock, self._metrics
+        )
+
+    def stop(self) -> None:
+        """Begin the graceful shutdown, or cut it short the second time."""
+        self._stops += 1
+        self._stopped.set()
+
+    async def run(self) -> None:
+        """Run all tasks until the shutdown is over."""
+        runner = web.AppRunner(
+            self._build_app(),
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=_MAX_HEADER_BYTES,
+            max_field_size=_MAX_HEADER_BYTES,
+            shutdown_timeout=0.5,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, self._settings.host, self._settings.port).start()
+        _log.info("serving", instance=self._settings.name, port=self._settings.port)
+        tasks = [
+            asyncio.create_task(self._control.run()),
+            asyncio.create_task(self._dispatcher.run()),
+            asyncio.create_task(self._prober.run()),
+        ]
+        stopped = asyncio.create_task(self._stopped.wait())
+        done, _ = await asyncio.wait([*tasks, stopped], return_when=asyncio.FIRST_COMPLETED)
+        if stopped in done:
+            await self._drain()
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        await runner.cleanup()
+        await self._client.close()
+        await self._store.close()
+        self._transport.close()
+        for result in results:
+            if isinstance(result, Exception):
+                raise result
+
+    def _build_app(self) -> web.Application:
+        app = web.Application(client_max_size=0)
+        app.router.add_get("/v1/instances", self._lookups.handle)
+        app.router.add_route("*", "/s/{service}", self._requests.handle)
+        app.router.add_route("*", "/s/{service}/{path:.*}", self._requests.handle)
+        self._administration.add_routes(app)
+        return app
+
+    async def _drain(self) -> None:
+        """Leave the look-ups, serve on for their time to live, finish, hand over."""
+        _log.info("draining", instance=self._settings.name)
+        self._control.announce_stop()
+        config = self._control.config
+        ttl_ms = _DEFAULT_TTL_MS if config is None else config.manifest.fleet.lookup_ttl_ms
+        await self._wait(ttl_ms / _MS_PER_S + _TTL_MARGIN_S, lambda: False)
+        self._requests.draining = True
+        limit_s = self._settings.drain_limit_ms / _MS_PER_S
+        await self._wait(limit_s, lambda: self._requests.in_flight == 0)
+        if self._requests.in_flight:
+            _log.warning("cut_requests", count=self._requests.in_flight)
+        left = await self._control.leave(_LEAVE_LIMIT_S)
+        _log.info("left" if left else "left_without_heir", instance=self._settings.name)
+        await asyncio.sleep(self._settings.gossip_period_ms / _MS_PER_S)
+
+    async def _wait(self, limit_s: float, is_over) -> None:  # type: ignore[no-untyped-def]
+        waited_s = 0.0
+        while waited_s < limit_s and self._stops < 2 and not is_over():
+            await asyncio.sleep(_POLL_S)
+            waited_s += _POLL_S
--- /dev/null
+++ b/src/waxwingshelf/program/logs.py
@@ -0,0 +1,27 @@
+"""Logs by structlog."""
+
+from __future__ import annotations
+
+import logging
+
+import structlog
+
+__all__ = ["set_up_logs"]
+
+
+def set_up_logs(log_format: str, level: str, instance: str) -> None:
+    """Log to standard output, as JSON or for a console, with the instance's name."""
+    renderer: structlog.types.Processor = structlog.processors.JSONRenderer()
+    if log_format == "console":
+        renderer = structlog.dev.ConsoleRenderer()
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(instance=instance)
--- /dev/null
+++ b/src/waxwingshelf/program/requests.py
@@ -0,0 +1,384 @@
+"""The path of one caller's request: key, rate, body, claim, dispatch, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import secrets
+from dataclasses import dataclass
+
+import aiohttp
+import structlog
+from aiohttp import web
+from multidict import CIMultiDict
+
+from waxwingshelf.adapters.target_http import ID_HEADER, LOAD_HEADER, TargetRequest
+from waxwingshelf.core import outcomes
+from waxwingshelf.core.budgets import name_organisation
+from waxwingshelf.core.claims import ClaimResult, ClaimState, RequestId, parse_request_id
+from waxwingshelf.core.clock import Clock
+from waxwingshelf.core.config import Config
+from waxwingshelf.core.manifest import Service
+from waxwingshelf.core.messages import Claim, ClaimAnswer
+from waxwingshelf.core.outcomes import Ran, Refusal, refuse
+from waxwingshelf.ports import Metrics
+from waxwingshelf.program.bodies import BodyError, BodyReader
+from waxwingshelf.program.control import Control
+from waxwingshelf.program.dispatcher import Dispatcher, Job, Sent
+from waxwingshelf.program.problems import build_problem
+
+__all__ = ["RequestPath"]
+
+DEADLINE_HEADER = "X-Deadline-Ms"
+ORGANISATION_HEADER = "X-Organisation"
+ID_KEY_HEADER = "Idempotency-Key"
+_REPLAYED_HEADER = "X-Replayed"
+_BEARER = "Bearer "
+_SMALL_BODY_BYTES = 65_536
+_CLAIM_WAIT_S = 1.0
+_RETRY_AFTER_MS = 1_000
+_MS_PER_S = 1_000
+_MAX_DEADLINE_DIGITS = 9
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    }
+)
+_PRIVATE_HEADERS = frozenset(
+    {
+        "authorization",
+        "cookie",
+        ID_HEADER.lower(),
+        ORGANISATION_HEADER.lower(),
+        DEADLINE_HEADER.lower(),
+        ID_KEY_HEADER.lower(),
+    }
+)
+_log = structlog.get_logger("requests")
+
+
+@dataclass(slots=True)
+class _Caller:
+    """A request whose key, rate and deadline have passed."""
+
+    config: Config
+    service_name: str
+    service: Service
+    organisation: str
+    request_id: str
+    deadline_ms: int
+
+
+class RequestPath:
+    """Serve requests to services."""
+
+    def __init__(
+        self, control: Control, dispatcher: Dispatcher, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._control = control
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._metrics = metrics
+        self._background: set[asyncio.Task[object]] = set()
+        self.draining = False
+        self.in_flight = 0
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer a request, by a target or by a refusal."""
+        started_ms = self._clock.now_ms()
+        request_id = secrets.token_hex(8)
+        self.in_flight += 1
+        try:
+            result = await self._serve(request, request_id, started_ms)
+        finally:
+            self.in_flight -= 1
+        if isinstance(result, Refusal):
+            self._metrics.count(f"refused.{result.reason.name}")
+            _log.info(
+                "refused",
+                request_id=request_id,
+                reason=result.reason.name,
+                step=result.reason.step.value,
+                peer=result.peer,
+                ran=result.ran.value,
+                detail=result.detail,
+            )
+            return build_problem(result, request_id, close=self.draining)
+        self._metrics.count("answered")
+        self._metrics.time("request_ms", self._clock.now_ms() - started_ms)
+        return result
+
+    async def _serve(
+        self, request: web.Request, request_id: str, started_ms: int
+    ) -> web.StreamResponse | Refusal:
+        caller = await self._admit(request, request_id, started_ms)
+        if isinstance(caller, Refusal):
+            return caller
+        if caller.service.idempotent or request.method in ("GET", "HEAD"):
+            return await self._serve_idempotent(request, caller)
+        return await self._serve_once(request, caller)
+
+    async def _admit(
+        self, request: web.Request, request_id: str, started_ms: int
+    ) -> _Caller | Refusal:
+        config = self._control.config
+        if self.draining:
+            return refuse(outcomes.DRAINING, retry_after_ms=_RETRY_AFTER_MS)
+        if config is None:
+            return refuse(outcomes.NOT_READY, retry_after_ms=_RETRY_AFTER_MS)
+        name = request.match_info["service"]
+        service = config.manifest.services.get(name)
+        if service is None:
+            return refuse(outcomes.SERVICE_UNKNOWN, detail=name[:100])
+        organisation = self._authenticate(request, config, service)
+        if isinstance(organisation, Refusal):
+            return organisation
+        deadline_ms = _read_deadline(request, service)
+        if deadline_ms is None:
+            detail = f"{DEADLINE_HEADER} must be a positive whole number of milliseconds"
+            return refuse(outcomes.BAD_REQUEST, detail=detail)
+        if organisation:
+            refusal = await self._take_token(organisation)
+            if refusal is not None:
+                return refusal
+        return _Caller(config, name, service, organisation, request_id, started_ms + deadline_ms)
+
+    def _authenticate(
+        self, request: web.Request, config: Config, service: Service
+    ) -> str | Refusal:
+        header = request.headers.get("Authorization", "")
+        if not header:
+            return "" if service.open else refuse(outcomes.KEY_MISSING)
+        if not header.startswith(_BEARER):
+            return refuse(outcomes.KEY_INVALID, detail="expected a bearer key")
+        organisation = config.find_organisation(header[len(_BEARER) :])
+        if organisation is None:
+            return refuse(outcomes.KEY_INVALID)
+        if self._is_stale(service):
+            return refuse(outcomes.KEYS_STALE, retry_after_ms=_RETRY_AFTER_MS)
+        return organisation
+
+    def _is_stale(self, service: Service) -> bool:
+        limit_ms = service.stale_key_limit_ms
+        if limit_ms is None:
+            return False
+        age_ms = self._control.state.fence.confirmed_age_ms(self._clock.now_ms())
+        if 0 <= age_ms <= limit_ms:
+            return False
+        return not self._control.state.hears_all_holders()
+
+    async def _take_token(self, organisation: str) -> Refusal | None:
+        budget = name_organisation(organisation)
+        if await self._control.take_soon(budget) is not None:
+            return None
+        state = self._control.state
+        holding = state.shares.find(budget)
+        if holding is None or not state.may_use_shares():
+            return refuse(outcomes.NO_SHARE, retry_after_ms=_RETRY_AFTER_MS)
+        wait_ms = holding.wait_ms(self._clock.now_ms())
+        return refuse(outcomes.RATE_EXCEEDED, retry_after_ms=wait_ms)
+
+    async def _serve_idempotent(
+        self, request: web.Request, caller: _Caller
+    ) -> web.StreamResponse | Refusal:
+        length = request.content_length
+        streamed = length is None or length > _SMALL_BODY_BYTES
+        if length is not None and length > caller.service.max_body_bytes:
+            return refuse(outcomes.BODY_TOO_LARGE)
+        body: object = None
+        if request.body_exists and streamed:
+            body = BodyReader(request, caller.service.max_body_bytes).stream()
+        elif request.body_exists:
+            body = await BodyReader(request, caller.service.max_body_bytes).read()
+        if isinstance(body, Refusal):
+            return body
+        job = self._build_job(request, caller, body, "")
+        job.resendable = not (request.body_exists and streamed)
+        try:
+            sent = await self._dispatcher.dispatch(caller.config, job)
+        except BodyError as error:
+            return error.refusal
+        if isinstance(sent, Refusal):
+            return sent
+        return await self._relay(request, caller, sent)
+
+    async def _serve_once(
+        self, request: web.Request, caller: _Caller
+    ) -> web.StreamResponse | Refusal:
+        request_id = parse_request_id(request.headers.get(ID_KEY_HEADER, ""))
+        if request_id is None:
+            missing = ID_KEY_HEADER not in request.headers
+            reason = outcomes.ID_MISSING if missing else outcomes.ID_INVALID
+            return refuse(reason, detail="use the prefix from /v1/instances and a text of your own")
+        body = await BodyReader(request, caller.service.max_body_bytes).read()
+        if isinstance(body, Refusal):
+            return body
+        claim = Claim(
+            organisation=caller.organisation,
+            service=caller.service_name,
+            request_id=request_id.text,
+            epoch=request_id.epoch,
+            issued_s=request_id.issued_s,
+            fingerprint=_fingerprint(request, body),
+            attempt=f"{self._control.state.me.identity}/{caller.request_id}",
+        )
+        # The caller may go away after the claim is won; the answer is kept for its repeat.
+        task = asyncio.create_task(self._run_once(request, caller, claim, request_id, body))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        answer = await asyncio.shield(task)
+        if isinstance(answer, Refusal):
+            return answer
+        return _build_kept_response(answer)
+
+    async def _run_once(
+        self,
+        request: web.Request,
+        caller: _Caller,
+        claim: Claim,
+        request_id: RequestId,
+        body: bytes,
+    ) -> ClaimAnswer | Refusal:
+        left_s = (caller.deadline_ms - self._clock.now_ms()) / _MS_PER_S
+        result = await self._control.claim(claim, request_id, min(_CLAIM_WAIT_S, left_s))
+        if result.state is not ClaimState.WON:
+            return _explain_claim(result)
+        job = self._build_job(request, caller, body, claim.request_id)
+        try:
+            outcome = await self._dispatcher.dispatch(caller.config, job)
+        except BaseException:
+            self._control.abandon_claim(claim.attempt)
+            raise
+        if isinstance(outcome, Refusal):
+            if outcome.ran is Ran.NO:
+                self._control.release_claim(claim.attempt)
+            else:
+                self._control.abandon_claim(claim.attempt)
+            return outcome
+        answer = await self._read_whole(caller, outcome)
+        if isinstance(answer, Refusal):
+            self._control.abandon_claim(claim.attempt)
+            return answer
+        self._control.finish_claim(claim.attempt, answer)
+        return answer
+
+    async def _read_whole(self, caller: _Caller, sent: Sent) -> ClaimAnswer | Refusal:
+        answer = sent.answer
+        parts = [answer.head]
+        whole = answer.whole
+        try:
+            while not whole:
+                part = await answer.read_rest()
+                whole = not part
+                parts.append(part)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return refuse(outcomes.TARGET_FAILED, peer=sent.route.state.name, detail=repr(error))
+        finally:
+            self._dispatcher.end(caller.service_name, sent, whole)
+        headers = [(str(k), v) for k, v in answer.headers.items() if _is_passed_back(k)]
+        return ClaimAnswer(answer.status, headers, b"".join(parts))
+
+    async def _relay(
+        self, request: web.Request, caller: _Caller, sent: Sent
+    ) -> web.StreamResponse | Refusal:
+        answer = sent.answer
+        headers = CIMultiDict((k, v) for k, v in answer.headers.items() if _is_passed_back(k))
+        headers[ID_HEADER] = caller.request_id
+        whole = answer.whole
+        try:
+            if whole:
+                return web.Response(status=answer.status, headers=headers, body=answer.head)
+            length = answer.headers.get("Content-Length")
+            response = web.StreamResponse(status=answer.status, headers=headers)
+            if length is not None:
+                response.content_length = int(length)
+            await response.prepare(request)
+            await response.write(answer.head)
+            while not whole:
+                part = await answer.read_rest()
+                whole = not part
+                if part:
+                    await response.write(part)
+            await response.write_eof()
+            return response
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # The head is sent already: the caller must see a broken answer, not a short one.
+            self._metrics.count("answers_cut")
+            if request.transport is not None:
+                request.transport.abort()
+            return response
+        finally:
+            self._dispatcher.end(caller.service_name, sent, whole)
+
+    def _build_job(self, request: web.Request, caller: _Caller, body: object, run_id: str) -> Job:
+        left_ms = max(1, caller.deadline_ms - self._clock.now_ms())
+        headers = CIMultiDict((k, v) for k, v in request.headers.items() if _is_passed_on(k))
+        headers[ID_HEADER] = caller.request_id
+        headers[DEADLINE_HEADER] = str(left_ms)
+        if caller.organisation:
+            headers[ORGANISATION_HEADER] = caller.organisation
+        if run_id:
+            headers[ID_KEY_HEADER] = run_id
+        prefix = f"/s/{caller.service_name}"
+        target_request = TargetRequest(
+            method=request.method,
+            path=request.path_qs[len(prefix) :] or "/",
+            headers=headers,
+            body=body,
+            request_id=caller.request_id,
+            timeout_ms=left_ms,
+            idempotent=not run_id,
+        )
+        return Job(caller.service_name, caller.organisation, target_request, caller.deadline_ms)
+
+
+def _read_deadline(request: web.Request, service: Service) -> int | None:
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return service.deadline_ms
+    if not text.isdigit() or len(text) > _MAX_DEADLINE_DIGITS or int(text) == 0:
+        return None
+    return min(int(text), service.deadline_ms)
+
+
+def _fingerprint(request: web.Request, body: bytes) -> bytes:
+    digest = hashlib.blake2b(f"{request.method} {request.path_qs}\n".encode(), digest_size=16)
+    digest.update(body)
+    return digest.digest()
+
+
+def _explain_claim(result: ClaimResult) -> ClaimAnswer | Refusal:
+    if result.state is ClaimState.DONE and result.answer is not None:
+        answer = result.answer
+        return ClaimAnswer(answer.status, [*answer.headers, (_REPLAYED_HEADER, "1")], answer.body)
+    reason = {
+        ClaimState.NOT_KEPT: outcomes.ANSWER_NOT_KEPT,
+        ClaimState.REUSED: outcomes.ID_REUSED,
+        ClaimState.EXPIRED: outcomes.ID_EXPIRED,
+        ClaimState.LOST: outcomes.IN_PROGRESS,
+    }.get(result.state, outcomes.CLAIM_UNAVAILABLE)
+    return refuse(reason, retry_after_ms=_RETRY_AFTER_MS)
+
+
+def _build_kept_response(answer: ClaimAnswer) -> web.Response:
+    headers = CIMultiDict(answer.headers)
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+
+def _is_passed_on(header: str) -> bool:
+    return header.lower() not in _HOP_HEADERS | _PRIVATE_HEADERS
+
+
+def _is_passed_back(header: str) -> bool:
+    name = header.lower()
+    return name not in _HOP_HEADERS and name not in (ID_HEADER.lower(), LOAD_HEADER.lower())
--- /dev/null
+++ b/src/waxwingshelf/program/status.py
@@ -0,0 +1,90 @@
+"""What an instance knows of the fleet, for operators."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec import Struct
+
+from waxwingshelf.core.holding import TOTAL_UNITS
+from waxwingshelf.core.membership import MemberState
+from waxwingshelf.core.state import LEDGER_DOCUMENT, MANIFEST_DOCUMENT, NodeState
+from waxwingshelf.program.control import Control
+
+__all__ = ["MemberStatus", "Status", "build_status"]
+
+
+class MemberStatus(Struct, frozen=True):
+    """What is known of one member; `revision` is -1 when it has not been heard from."""
+
+    name: str
+    region: str
+    failure_domain: str
+    state: str
+    stopping: bool
+    revision: int
+
+
+class Status(Struct, frozen=True):
+    """The status page; `confirmed_age_ms` is -1 before the first confirmation.
+
+    `shares` are the parts of each budget held by the answering instance, from 0 to 1.
+    """
+
+    instance: str
+    revision: int
+    ledger_version: int
+    store_reachable: bool
+    confirmed_age_ms: int
+    uses_shares: bool
+    cut_running: bool
+    fenced: list[str]
+    members: list[MemberStatus]
+    not_confirmed: list[str]
+    shares: dict[str, float]
+
+
+def build_status(control: Control, now_ms: int, with_shares: bool) -> Any:
+    """Build the status of one instance."""
+    state = control.state
+    revision = state.documents[MANIFEST_DOCUMENT].version
+    ledger = state.ledger
+    cut = None if ledger is None else ledger.cut
+    members = _list_members(state, revision)
+    held = state.shares.count_held() if with_shares else {}
+    return Status(
+        instance=state.me.identity,
+        revision=revision,
+        ledger_version=state.documents[LEDGER_DOCUMENT].version,
+        store_reachable=control.store_reachable,
+        confirmed_age_ms=state.fence.confirmed_age_ms(now_ms),
+        uses_shares=state.may_use_shares(),
+        cut_running=cut is not None,
+        fenced=[] if cut is None else cut.fenced,
+        members=members,
+        not_confirmed=[member.name for member in members if member.revision < revision],
+        shares={budget: units / TOTAL_UNITS for budget, units in held.items()},
+    )
+
+
+def _list_members(state: NodeState, revision: int) -> list[MemberStatus]:
+    names = {state.me.name, *state.membership.list_alive()}
+    if state.ledger is not None:
+        names |= state.ledger.holders.keys()
+    members = []
+    for name in sorted(names):
+        rumour = state.membership.find(name)
+        if rumour is None or rumour.state == MemberState.LEFT:
+            continue
+        versions = state.peer_versions.get(name, [-1])
+        members.append(
+            MemberStatus(
+                name=name,
+                region=rumour.region,
+                failure_domain=rumour.failure_domain,
+                state=rumour.state,
+                stopping=rumour.stopping,
+                revision=revision if name == state.me.name else versions[MANIFEST_DOCUMENT],
+            )
+        )
+    return members
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside: the key-value service and the targets."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools around the product: demo, benchmarks, samples."""
