--- a/src/waxwingshelf/core/shares.py
+++ b/src/waxwingshelf/core/shares.py
@@ -260,11 +260,9 @@
             if account is None or account.generation > version:
                 continue
             part = _divide(total, len(roster), place)
-            full = account.holding.limit.size * part / TOTAL_UNITS
             account.fresh = False
-            account.holding.receive(
-                Gift(part, full if version == account.generation else 0), now_ms
-            )
+            # Tokens come with time: whoever held these units before may have just used theirs.
+            account.holding.receive(Gift(part, 0.0), now_ms)
 
 
 def _divide(total: int, count: int, place: int) -> int:
--- a/tests/test_deliberate_faults.py
+++ b/tests/test_deliberate_faults.py
@@ -27,7 +27,7 @@
 )
 from waxwingshelf.core.claims import ClaimState, RequestId
 from waxwingshelf.core.holding import LevelHolding, RateHolding
-from waxwingshelf.core.messages import Claim, ClaimRecord
+from waxwingshelf.core.messages import Claim, ClaimRecord, CutReport
 
 Patch = pytest.MonkeyPatch
 FAULTS: dict[str, tuple[Callable[[Patch], None], Callable[[FakeFleet], Any]]] = {}
@@ -55,10 +55,40 @@
 
 
 def places(fleet: FakeFleet) -> None:
-    for name in sorted(fleet.nodes) * 4:
-        for _ in range(3):
-            fleet.occupy(name)
-        fleet.advance(250)
+    for _ in range(100):
+        fleet.occupy("n0")
+        fleet.advance(50)
+    for _ in range(40):
+        fleet.occupy("n1")
+        fleet.advance(50)
+
+
+def idle_then_burst(fleet: FakeFleet) -> None:
+    fleet.advance(20_000)
+    for name in sorted(fleet.nodes):
+        for _ in range(20):
+            fleet.request(name, "acme")
+
+
+def reissue_waits(fleet: FakeFleet) -> None:
+    _, value = fleet.store.read("ledger")
+    retired = recovery.issue_budgets(ledger.decode_ledger(value), set(), "n0")
+    again = recovery.issue_budgets(retired, {scenarios.BUDGET}, "n0")
+    assert scenarios.BUDGET not in again.issued
+    assert again.audit_due
+    settled = ledger.settle_cut(ledger.start_cut(again, "n0#1", []), {}, {}, "n0")
+    assert scenarios.BUDGET in recovery.issue_budgets(settled, {scenarios.BUDGET}, "n0").issued
+
+
+def collector_waits(fleet: FakeFleet) -> None:
+    _, value = fleet.store.read("ledger")
+    before = ledger.start_cut(ledger.decode_ledger(value), "n0#1", ["n2#3"])
+    assert before.cut is not None
+    collector = cuts.CutCollector(before.cut, 0)
+    for identity in before.list_identities():
+        collector.add(identity, CutReport(before.cut.number, {}, [], {}), 1_000)
+    assert collector.judge(before, 0, 1_000 + fence.CONTACT_MS) is None
+    assert collector.judge(before, 0, 1_000 + 2 * fence.CONTACT_MS) is not None
 
 
 def isolate(fleet: FakeFleet) -> None:
@@ -165,7 +195,7 @@
     patch.setattr(RateHolding, "resize", faulty)
 
 
-@fault(change_often)
+@fault(idle_then_burst)
 def rate_is_checked_per_instance(patch: Patch) -> None:
     patch.setattr(RateHolding, "_capacity", lambda self, units: self.limit.size)
 
@@ -194,14 +224,21 @@
 
 @fault(lambda fleet: [fleet.start("n8"), fleet.advance(5_000)])
 def joiner_takes_old_grants(patch: Patch) -> None:
-    patch.setattr(shares.ShareBook, "begin", lambda self, joined: None)
-    roster = ledger.Ledger.list_roster
-    patch.setattr(
-        ledger.Ledger, "list_roster", lambda self, version: roster(self, self.version + 1)
-    )
+    def faulty(
+        self: shares.ShareBook,
+        ledger: ledger.Ledger,
+        version: int,
+        units: dict[str, int],
+        now_ms: int,
+    ) -> None:
+        for budget, total in units.items():
+            part = total // len(ledger.holders)
+            self._accounts[budget].holding.receive(holding.Gift(part, 0.0), now_ms)
 
+    patch.setattr(shares.ShareBook, "_apply_grant", faulty)
 
-@fault(isolate)
+
+@fault(collector_waits)
 def fence_does_not_wait(patch: Patch) -> None:
     patch.setattr(cuts, "FENCE_WAIT_MS", 0)
 
@@ -234,7 +271,7 @@
     patch.setattr(fence.Fence, "may_use", lambda self, now_ms, majority, hold_ms: not self.fenced)
 
 
-@fault(scenarios.test_a_budget_that_returns_waits_until_nobody_uses_its_old_units)
+@fault(reissue_waits)
 def retired_budget_is_issued_at_once(patch: Patch) -> None:
     issue = ledger.issue_budgets
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.fleet import BURST, RATE_PER_S, FakeFleet, build_fleet
+from tests.fleet import BURST, ORGANISATIONS, RATE_PER_S, FakeFleet, build_fleet
 from waxwingshelf.core.changes import Accepted, Change, Conflict
 from waxwingshelf.core.claims import ClaimState
 from waxwingshelf.core.holding import TOTAL_UNITS
@@ -231,17 +231,17 @@
 
 
 def test_a_budget_that_returns_waits_until_nobody_uses_its_old_units(fleet: FakeFleet) -> None:
-    organisation = {"rate_per_s": RATE_PER_S, "burst": BURST}
     gone = [{"op": "remove", "path": "/organisations/acme"}]
-    back = [{"op": "add", "path": "/organisations/acme", "value": organisation}]
-    drive(fleet, 2_000, sorted(fleet.nodes), RATE_PER_S * 1.5)
-    fleet.nodes["n6"].frozen = True
+    back = [{"op": "add", "path": "/organisations/acme", "value": ORGANISATIONS["acme"]}]
+    others = [name for name in sorted(fleet.nodes) if name != "n6"]
+    drive(fleet, 4_000, others, RATE_PER_S * 3)
+    fleet.isolated = {"n6"}
     fleet.change("n0", Change("a", "gone", 0, patch=gone))
-    fleet.advance(1_000)
-    fleet.change("n0", Change("b", "back", 0, patch=back))
     fleet.advance(300)
-    fleet.thaw("n6")
-    drive(fleet, 10_000, sorted(fleet.nodes), RATE_PER_S * 1.5)
+    fleet.change("n0", Change("b", "back", 0, patch=back))
+    drive(fleet, 6_500, sorted(fleet.nodes), RATE_PER_S * 3)
+    fleet.isolated = set()
+    fleet.advance(20_000)
     fleet.audit()
     assert fleet.count_units(BUDGET) == TOTAL_UNITS
 
