Keep the cost of control from growing with the fleet

Every take counted the live holders again, and every look at whether to read the store ranked all holders by hash.

Ruled out: gossip itself (bytes a member do not grow with the fleet).

Change: what is derived from members and ledger is kept until one of the two changes.

--- a/src/waxwingshelf/core/membership.py
+++ b/src/waxwingshelf/core/membership.py
@@ -57,7 +57,8 @@
 class Membership:
     """Keep what one member believes of all others.
 
-    `returns` counts members that were taken for dead and came back in the same incarnation.
+    `returns` counts members that were taken for dead and came back in the same incarnation;
+    `changes` rises whenever anything that is believed of others changes.
     """
 
     def __init__(self, me: Holder, period_ms: int, rng: random.Random) -> None:
@@ -71,12 +72,17 @@
         self._pending: str | None = None
         self._turn = 0
         self.returns = 0
+        self.changes = 0
+        self._alive: list[str] | None = None
         self._spread(me.name)
 
     def list_alive(self) -> list[str]:
         """List the names of other members that are not known to be dead or gone."""
-        wanted = (MemberState.ALIVE, MemberState.SUSPECT)
-        return [name for name, entry in self._entries.items() if entry.rumour.state in wanted]
+        if self._alive is None:
+            wanted = (MemberState.ALIVE, MemberState.SUSPECT)
+            entries = self._entries.items()
+            self._alive = [name for name, entry in entries if entry.rumour.state in wanted]
+        return self._alive
 
     def list_identities(self) -> set[str]:
         """List the identities of live members, the own one included."""
@@ -114,10 +120,12 @@
             known = entry is not None and entry.rumour.incarnation >= holder.incarnation
             if holder.name != self.me.name and not known:
                 self._entries[holder.name] = _Entry(_describe(holder), now_ms, now_ms)
+                self._note_change()
         for departure in ledger.departures:
             entry = self._entries.get(departure.holder.name)
             if entry is not None and entry.rumour.incarnation == departure.holder.incarnation:
                 del self._entries[departure.holder.name]
+                self._note_change()
 
     def announce_stop(self) -> None:
         """Tell others that this member takes no new callers."""
@@ -142,6 +150,7 @@
             self.returns += rumour.incarnation == entry.rumour.incarnation
         acked_ms = now_ms if entry is None else entry.acked_ms
         self._entries[rumour.name] = _Entry(rumour, now_ms, acked_ms)
+        self._note_change()
         self._spread(rumour.name)
         return True
 
@@ -156,6 +165,7 @@
         if entry.rumour.state == MemberState.SUSPECT:
             entry.rumour = replace(entry.rumour, state=MemberState.ALIVE.value)
             entry.since_ms = now_ms
+            self._note_change()
 
     def note_message(self, name: str, incarnation: int) -> None:
         """Have a member that is taken for dead hear of it, so that it can refute that."""
@@ -224,6 +234,7 @@
         if entry is not None and entry.rumour.state == MemberState.ALIVE:
             entry.rumour = replace(entry.rumour, state=MemberState.SUSPECT.value)
             entry.since_ms = now_ms
+            self._note_change()
             self._spread(name)
 
     def _bury_suspects(self, now_ms: int) -> None:
@@ -234,20 +245,26 @@
             if suspect and now_ms - entry.since_ms >= limit_ms:
                 entry.rumour = replace(entry.rumour, state=MemberState.DEAD.value)
                 entry.since_ms = now_ms
+                self._note_change()
                 self._spread(name)
 
     def _choose_next(self) -> str | None:
-        alive = set(self.list_alive())
-        if not alive:
+        wanted = (MemberState.ALIVE, MemberState.SUSPECT)
+        if not self.list_alive():
             return None
         while True:
             if not self._order:
-                self._order = sorted(alive)
+                self._order = sorted(self.list_alive())
                 self._rng.shuffle(self._order)
             name = self._order.pop()
-            if name in alive:
+            entry = self._entries.get(name)
+            if entry is not None and entry.rumour.state in wanted:
                 return name
 
+    def _note_change(self) -> None:
+        self.changes += 1
+        self._alive = None
+
     def _choose_dead(self) -> list[str]:
         dead = [n for n, e in self._entries.items() if e.rumour.state == MemberState.DEAD]
         return [self._rng.choice(dead)] if dead else []
--- a/src/waxwingshelf/core/recovery.py
+++ b/src/waxwingshelf/core/recovery.py
@@ -39,14 +39,21 @@
         self._report_to = ""
         self._audited_ms = state.clock.now_ms()
         self._audited_returns = 0
+        self._reader = True
+        self._duties_seen = (-1, -1)
 
     def is_reader(self) -> bool:
         """Tell whether this member keeps a watch on the key-value service for others."""
         ledger = self._state.ledger
         if ledger is None or ledger.find(self._state.me.identity) is None:
             return True
-        ranked = ledger.rank_holders(_DUTY_READER, self._state.membership.list_identities())
-        return self._state.me.identity in ranked[:_READERS] or self._is_coordinator(ledger)
+        seen = (self._state.membership.changes, ledger.version)
+        if seen != self._duties_seen:
+            alive = self._state.membership.list_identities()
+            readers = ledger.rank_holders(_DUTY_READER, alive)[:_READERS]
+            self._reader = self._state.me.identity in readers or self._is_coordinator(ledger)
+            self._duties_seen = seen
+        return self._reader
 
     def follow_ledger(self) -> None:
         """React to a ledger that has just been put in force."""
--- a/src/waxwingshelf/core/state.py
+++ b/src/waxwingshelf/core/state.py
@@ -62,6 +62,9 @@
         self.reported_met: set[str] = set()
         self.outbox: list[AddressedMessage] = []
         self.faulty_documents = 0
+        self._gone: set[str] = set()
+        self._majority = False
+        self._majority_seen = (-1, -1)
 
     def send(self, recipient: str, message: Message) -> None:
         """Queue a message to a member by name."""
@@ -90,7 +93,7 @@
             return False
         if ledger.cut is not None and identity in ledger.cut.fenced:
             return True
-        if any(departure.holder.identity == identity for departure in ledger.departures):
+        if identity in self._gone:
             return True
         name, _, incarnation = identity.partition("#")
         holder = ledger.holders.get(name)
@@ -116,9 +119,14 @@
         """Tell whether most holders of the ledger are alive as far as is known here."""
         if self.ledger is None:
             return False
-        holders = self.ledger.list_identities()
-        alive = self.membership.list_identities()
-        return 2 * sum(1 for identity in holders if identity in alive) > len(holders)
+        seen = (self.membership.changes, self.ledger.version)
+        if seen != self._majority_seen:
+            holders = self.ledger.holders.values()
+            alive = self.membership.list_identities()
+            count = sum(1 for holder in holders if holder.identity in alive)
+            self._majority = 2 * count > len(holders)
+            self._majority_seen = seen
+        return self._majority
 
     def hears_all_holders(self) -> bool:
         """Tell whether every holder is alive as far as is known here.
@@ -152,6 +160,7 @@
         except msgspec.ValidationError:
             self.faulty_documents += 1
             return False
+        self._gone = {departure.holder.identity for departure in self.ledger.departures}
         return True
 
     def replace_document(self, number: int, version: int, value: Any) -> bool:
