Test the request path with targets and callers that misbehave

Cause: the path was shown by the demo only; targets that cut, hang, cross or refuse, and callers that repeat or leave, were not caused.

Change: a fleet on loopback sockets in one event loop as a fixture, and tests/test_requests.py.

--- a/src/waxwingshelf/program/instance.py
+++ b/src/waxwingshelf/program/instance.py
@@ -21,7 +21,7 @@
 from waxwingshelf.program.requests import RequestPath
 from waxwingshelf.program.settings import Settings
 
-__all__ = ["run_instance"]
+__all__ = ["Instance", "run_instance"]
 
 _POLL_S = 0.05
 _LEAVE_LIMIT_S = 10.0
@@ -34,14 +34,16 @@
 
 async def run_instance(settings: Settings) -> None:
     """Serve until SIGTERM or SIGINT; a second signal skips the rest of the drain."""
-    instance = _Instance(settings)
+    instance = Instance(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.stop)
     await instance.run()
 
 
-class _Instance:
+class Instance:
+    """Own the adapters and tasks of one process."""
+
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._stops = 0
@@ -64,6 +66,11 @@
             settings, self._control, self._store, clock, self._metrics
         )
 
+    @property
+    def control(self) -> Control:
+        """Return the control task's object."""
+        return self._control
+
     def stop(self) -> None:
         """Begin the graceful shutdown, or cut it short the second time."""
         self._stops += 1
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,191 @@
+"""A whole fleet on loopback sockets in one event loop."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from standins.store import StoreStandIn
+from standins.target import Behaviour, TargetStandIn
+from tools.processes import find_ports
+from waxwingshelf.core.config import digest_key
+from waxwingshelf.program.instance import Instance
+from waxwingshelf.program.settings import Settings
+
+HOST = "127.0.0.1"
+READY_S = 20.0
+
+
+@dataclass
+class Loopback:
+    """Instances, targets and a store that tests talk to over real sockets."""
+
+    session: aiohttp.ClientSession
+    store: StoreStandIn
+    operator_key: str
+    keys: dict[str, str]
+    targets: dict[str, TargetStandIn] = field(default_factory=dict)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    ports: dict[str, int] = field(default_factory=dict)
+    settings: dict[str, Settings] = field(default_factory=dict)
+    tasks: dict[str, asyncio.Task] = field(default_factory=dict)
+    runners: list[web.AppRunner] = field(default_factory=list)
+
+    async def call(self, name: str, method: str, path: str, key: str = "", **options: Any) -> Any:
+        headers = dict(options.pop("headers", {}))
+        if key:
+            headers["Authorization"] = f"Bearer {self.keys.get(key, key)}"
+        url = f"http://{HOST}:{self.ports[name]}{path}"
+        async with self.session.request(method, url, headers=headers, **options) as response:
+            body = await response.read()
+            answer = msgspec.json.decode(body) if body.startswith((b"{", b"[")) else body
+            return response.status, answer, response.headers
+
+    async def patch(self, name: str, patch: list[dict[str, Any]], **options: Any) -> Any:
+        body = {"patch": patch, "why": "test", **options}
+        return await self.call(name, "PUT", "/admin/v1/manifest", self.operator_key, json=body)
+
+    async def new_id(self, text: str) -> str:
+        _, answer, _ = await self.call("n0", "GET", "/v1/instances?service=orders")
+        return answer["request_id_prefix"] + text
+
+    async def order(self, name: str, request_id: str, body: bytes = b"{}") -> Any:
+        headers = {"Idempotency-Key": request_id}
+        return await self.call(name, "POST", "/s/orders/x", "acme", headers=headers, data=body)
+
+    async def until(self, condition: Callable[[], Any]) -> None:
+        async with asyncio.timeout(READY_S):
+            while True:
+                result = condition()
+                if isinstance(result, Awaitable):
+                    result = await result
+                if result:
+                    return
+                await asyncio.sleep(0.02)
+
+    async def start_store(self, port: int) -> None:
+        await self.serve(self.store.build_app(), port)
+
+    async def serve(self, app: web.Application, port: int) -> None:
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, port).start()
+        self.runners.append(runner)
+
+    def start_instance(self, name: str) -> None:
+        self.instances[name] = Instance(self.settings[name])
+        self.tasks[name] = asyncio.create_task(self.instances[name].run())
+
+    async def stop(self) -> None:
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.session.close()
+
+
+def build_manifest(ports: dict[str, int], keys: dict[str, str]) -> dict[str, Any]:
+    service = {"deadline_ms": 3000, "slots": 4}
+    targets = {
+        name: {
+            "service": name.partition("-")[0],
+            "region": f"r{name[-1]}",
+            "failure_domain": f"r{name[-1]}-0",
+            "host": HOST,
+            "port": port,
+        }
+        for name, port in ports.items()
+    }
+    organisations = {
+        "acme": {"rate_per_s": 500, "burst": 500},
+        "bolt": {"rate_per_s": 500, "burst": 500},
+        "tiny": {"rate_per_s": 0.5, "burst": 2},
+    }
+    return {
+        "fleet": {"name": "test", "lookup_ttl_ms": 200},
+        "regions": {f"r{n}": {"failure_domains": [f"r{n}-0"]} for n in range(2)},
+        "services": {
+            "web": service,
+            "orders": {**service, "idempotent": False, "max_body_bytes": 100_000},
+            "public": {**service, "open": True},
+        },
+        "targets": targets,
+        "organisations": organisations,
+        "keys": {digest_key(key): {"organisation": name} for name, key in keys.items()},
+        "shift_caps": {"r0>r1": {"requests_per_s": 500, "burst": 500}},
+    }
+
+
+async def build_loopback(names: tuple[str, ...]) -> Loopback:
+    target_names = ("web-0", "web-1", "orders-0", "orders-1", "public-0")
+    ports = find_ports(1 + 2 * len(names) + len(target_names))
+    keys = {name: secrets.token_hex(16) for name in ("acme", "bolt", "tiny")}
+    store = StoreStandIn()
+    loopback = Loopback(aiohttp.ClientSession(), store, secrets.token_hex(16), keys)
+    await loopback.start_store(ports[0])
+    target_ports = dict(zip(target_names, ports[-len(target_names) :], strict=True))
+    for name, port in target_ports.items():
+        loopback.targets[name] = TargetStandIn(name, Behaviour(slots=4, work_ms=5))
+        await loopback.serve(loopback.targets[name].build_app(), port)
+    for number, name in enumerate(names):
+        loopback.ports[name] = ports[1 + 2 * number]
+        loopback.settings[name] = Settings(
+            fleet="test",
+            name=name,
+            region="r0",
+            failure_domain="r0-0",
+            host=HOST,
+            port=ports[1 + 2 * number],
+            peer_port=ports[2 + 2 * number],
+            store_host=HOST,
+            store_port=ports[0],
+            fleet_secrets=["a secret of the tests"],
+            bootstrap_operator_digest=digest_key(loopback.operator_key),
+            gossip_period_ms=100,
+        )
+        loopback.start_instance(name)
+    manifest = build_manifest(target_ports, keys)
+    body = {"document": manifest, "based_on": 0, "why": "start"}
+
+    async def apply() -> bool:
+        try:
+            status, _, _ = await loopback.call(
+                "n0", "PUT", "/admin/v1/manifest", loopback.operator_key, json=body
+            )
+        except aiohttp.ClientError:
+            return False
+        return status == 200
+
+    await loopback.until(apply)
+    await loopback.until(lambda: all(is_ready(each) for each in loopback.instances.values()))
+    return loopback
+
+
+def is_ready(instance: Instance) -> bool:
+    state = instance.control.state
+    held = state.shares.count_held()
+    return state.may_use_shares() and bool(held) and all(held.values())
+
+
+@pytest.fixture
+def run_with_fleet() -> Callable[..., None]:
+    """Run an async test body with a fleet of the named instances."""
+
+    def run(body: Callable[[Loopback], Awaitable[None]], *names: str) -> None:
+        async def main() -> None:
+            loopback = await build_loopback(names or ("n0", "n1", "n2"))
+            try:
+                await asyncio.wait_for(body(loopback), 60)
+            finally:
+                await loopback.stop()
+
+        asyncio.run(main())
+
+    return run
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,228 @@
+"""The request path over real sockets, with targets and callers that misbehave."""
+
+import asyncio
+
+import pytest
+
+from tests.conftest import HOST, Loopback
+
+RUN = pytest.mark.parametrize
+
+
+def test_a_request_is_answered_and_the_key_stays_here(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        status, answer, headers = await fleet.call("n0", "GET", "/s/web/a?b=1", "acme")
+        assert (status, answer["path"], answer["organisation"]) == (200, "/a?b=1", "acme")
+        assert headers["X-Request-Id"]
+        seen = fleet.targets[answer["target"]].header_values_seen
+        assert not any(fleet.keys["acme"] in value for value in seen)
+        assert "Authorization" not in fleet.targets[answer["target"]].headers_seen
+
+    run_with_fleet(body)
+
+
+def test_refusals_before_a_target_is_asked(run_with_fleet) -> None:
+    cases = [
+        ("/s/none/x", "acme", {}, 404, "service_unknown"),
+        ("/s/web/x", "", {}, 401, "key_missing"),
+        ("/s/web/x", "wrong", {}, 401, "key_invalid"),
+        ("/s/web/x", "", {"Authorization": "Basic eA=="}, 401, "key_invalid"),
+        ("/s/web/x", "acme", {"X-Deadline-Ms": "soon"}, 400, "bad_request"),
+        ("/s/web/x", "acme", {"X-Deadline-Ms": "0"}, 400, "bad_request"),
+        ("/s/web/x", "acme", {"X-Deadline-Ms": "9" * 50}, 400, "bad_request"),
+    ]
+
+    async def body(fleet: Loopback) -> None:
+        for path, key, headers, status, reason in cases:
+            got, problem, response = await fleet.call("n0", "GET", path, key, headers=headers)
+            assert (got, problem["reason"], problem["ran"]) == (status, reason, "no"), path
+            assert response["Content-Type"] == "application/problem+json"
+        operator = fleet.operator_key
+        assert (await fleet.call("n0", "GET", "/s/web/x", operator))[1]["reason"] == "key_invalid"
+        status, problem, _ = await fleet.call("n0", "GET", "/admin/v1/manifest", "acme")
+        assert (status, problem["reason"]) == (401, "operator_key_invalid")
+
+    run_with_fleet(body, "n0")
+
+
+def test_orders_need_an_id_of_the_look_up(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        status, problem, _ = await fleet.call("n0", "POST", "/s/orders/x", "acme")
+        assert (status, problem["reason"]) == (400, "id_missing")
+        for bad in ("mine", "1.r0.x.y", "1.r0.5.", "1.r0.5." + "z" * 300):
+            status, problem, _ = await fleet.order("n0", bad)
+            assert (status, problem["reason"]) == (400, "id_invalid"), bad
+        status, problem, _ = await fleet.order("n0", "1.r0.1000.old")
+        assert (problem["reason"], problem["ran"]) == ("id_expired", "unknown")
+
+    run_with_fleet(body)
+
+
+def test_a_repeated_order_gets_the_first_answer_whole(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        request_id = await fleet.new_id("a")
+        _, first, _ = await fleet.order("n0", request_id)
+        status, second, headers = await fleet.order("n2", request_id)
+        assert (status, second, headers["X-Replayed"]) == (200, first, "1")
+        status, problem, _ = await fleet.order("n1", request_id, b"another body")
+        assert (status, problem["reason"]) == (422, "id_reused")
+        assert count_runs(fleet, request_id) == 1
+
+    run_with_fleet(body)
+
+
+def test_the_same_order_in_the_same_millisecond_runs_once(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        for number in range(10):
+            request_id = await fleet.new_id(f"race-{number}")
+            await asyncio.gather(*(fleet.order(name, request_id) for name in fleet.instances))
+            assert count_runs(fleet, request_id) <= 1
+
+    run_with_fleet(body)
+
+
+@RUN("mode", ["cut", "error", "crossed", "hang"])
+def test_an_order_at_a_faulty_target_never_runs_again(run_with_fleet, mode: str) -> None:
+    async def body(fleet: Loopback) -> None:
+        for target in fleet.targets.values():
+            target.behaviour.mode = mode
+        request_id = await fleet.new_id(mode)
+        headers = {"Idempotency-Key": request_id, "X-Deadline-Ms": "300"}
+        status, problem, _ = await fleet.call(
+            "n0", "POST", "/s/orders/x", "acme", headers=headers, data=b"{}"
+        )
+        assert status >= 500
+        if mode != "error":
+            assert problem["ran"] == "unknown"
+        for target in fleet.targets.values():
+            target.behaviour.mode = "normal"
+        await fleet.order("n1", request_id)
+        assert count_runs(fleet, request_id) == 1
+
+    run_with_fleet(body)
+
+
+def test_an_order_that_was_refused_may_run_elsewhere(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        fleet.targets["orders-0"].behaviour.mode = "refuse"
+        request_id = await fleet.new_id("a")
+        status, answer, _ = await fleet.order("n0", request_id)
+        assert (status, answer["target"]) == (200, "orders-1")
+        fleet.targets["orders-1"].behaviour.mode = "refuse"
+        request_id = await fleet.new_id("b")
+        status, problem, headers = await fleet.order("n0", request_id)
+        assert (status, problem["ran"]) == (503, "no")
+        assert int(headers["Retry-After"]) >= 1
+        fleet.targets["orders-1"].behaviour.mode = "normal"
+        assert (await fleet.order("n1", request_id))[0] == 200
+        assert count_runs(fleet, request_id) == 1
+
+    run_with_fleet(body)
+
+
+@RUN("mode", ["cut", "crossed"])
+def test_a_read_is_retried_and_never_answered_wrongly(run_with_fleet, mode: str) -> None:
+    async def body(fleet: Loopback) -> None:
+        fleet.targets["web-0"].behaviour.mode = mode
+        for number in range(10):
+            status, answer, _ = await fleet.call("n0", "GET", f"/s/web/{number}", "acme")
+            assert status in (200, 503)
+            if status == 200:
+                assert (answer["path"], answer["target"]) == (f"/{number}", "web-1")
+            else:
+                assert answer["ran"] == "unknown"
+
+    run_with_fleet(body, "n0")
+
+
+def test_a_long_answer_that_is_cut_is_seen_as_cut(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        async def serve_cut(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + bytes(200_000))
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve_cut, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        patch = [{"op": "replace", "path": f"/targets/web-{n}/port", "value": port} for n in (0, 1)]
+        assert (await fleet.patch("n0", patch))[0] == 200
+        with pytest.raises(Exception, match=r"payload|closed|disconnected|ContentLength"):
+            await fleet.call("n0", "GET", "/s/web/x", "acme")
+        server.close()
+
+    run_with_fleet(body, "n0")
+
+
+def test_a_draining_target_gets_no_new_work(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        target = fleet.targets["web-0"]
+        target.behaviour.draining = True
+        await fleet.until(lambda: fleet.call("n0", "GET", "/s/web/x", "acme"))
+        await asyncio.sleep(1.5)
+        before = target.headers_seen.copy(), sum(target.runs.values())
+        for _ in range(20):
+            assert (await fleet.call("n0", "GET", "/s/web/x", "acme"))[1]["target"] == "web-1"
+        assert before == (target.headers_seen, sum(target.runs.values()))
+
+    run_with_fleet(body, "n0")
+
+
+def test_a_planned_stop_of_a_target_counts_within_two_seconds(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        stop = {"op": "add", "path": "/planned_stops/web-0", "value": {"kind": "target"}}
+        await fleet.patch("n1", [stop])
+        await asyncio.sleep(2)
+        before = sum(fleet.targets["web-0"].runs.values())
+        for name in fleet.instances:
+            for _ in range(10):
+                assert (await fleet.call(name, "GET", "/s/web/x", "acme"))[0] == 200
+        assert sum(fleet.targets["web-0"].runs.values()) == before
+
+    run_with_fleet(body)
+
+
+def test_limits_on_bodies(run_with_fleet) -> None:
+    async def endless():  # type: ignore[no-untyped-def]
+        for _ in range(1_000):
+            yield bytes(10_000)
+
+    async def body(fleet: Loopback) -> None:
+        request_id = await fleet.new_id("a")
+        status, problem, _ = await fleet.order("n0", request_id, bytes(100_001))
+        assert (status, problem["reason"], problem["ran"]) == (413, "body_too_large", "no")
+        status, problem, _ = await fleet.order("n0", request_id, endless())
+        assert (status, problem["reason"], problem["ran"]) == (413, "body_too_large", "no")
+        status, answer, _ = await fleet.call("n0", "PUT", "/s/web/x", "acme", data=bytes(900_000))
+        assert (status, answer["body_bytes"]) == (200, 900_000)
+
+    run_with_fleet(body)
+
+
+def test_a_small_organisation_is_held_to_its_rate(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        await asyncio.sleep(4)
+        statuses = [
+            (await fleet.call(name, "GET", "/s/web/x", "tiny"))[0]
+            for name in list(fleet.instances) * 4
+        ]
+        assert statuses.count(200) <= 2 + 0.5 * 5
+        assert 429 in statuses
+
+    run_with_fleet(body)
+
+
+def test_a_caller_that_leaves_cancels_its_read(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        for name in ("web-0", "web-1"):
+            fleet.targets[name].behaviour.mode = "hang"
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(fleet.call("n0", "GET", "/s/web/x", "acme"), 0.3)
+        cancelled = [fleet.targets[name] for name in ("web-0", "web-1")]
+        await fleet.until(lambda: sum(target.cancelled for target in cancelled) == 1)
+
+    run_with_fleet(body, "n0")
+
+
+def count_runs(fleet: Loopback, request_id: str) -> int:
+    return sum(target.runs[request_id] for target in fleet.targets.values())
