Answer peers that gossip has not told of, and test the operators' side

Cause: an instance that joined while the store was down stayed without room for requests. It asked three peers for shares; two of them wrote units off and then did not know where to send them, because the rumour of the newcomer had not reached them: 722,223 of 1,000,000 units of a budget were lost until the next audit, which needs the store.

Ruled out: a first message lost by a socket that still connects (a script showed that the send buffer holds it); a rejected envelope (no counter rose); a fenced sender.

Also found: a receive that completes while it is cancelled swallows the cancellation, so an instance could hang at its end.

Change: an envelope tells where its sender listens; what certainly could not be sent is taken back; a newcomer names itself in every ping until somebody has answered.

One test changed: a repeat that follows a refusal at once may find the id still claimed (409, in progress); a trace showed the release on its way. The test now waits for the Retry-After that it was given.

--- a/src/waxwingshelf/core/envelope.py
+++ b/src/waxwingshelf/core/envelope.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import Struct
 
+from waxwingshelf.core.ledger import Holder
+
 __all__ = ["PROTOCOL_VERSIONS", "Opened", "Rejection", "Sealer"]
 
 PROTOCOL_VERSION = 1
@@ -31,10 +33,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Opened:
-    """A proven envelope."""
+    """A proven envelope; `host` and `port` are where the sender listens for peers."""
 
     sender: str
     incarnation: int
+    host: str
+    port: int
     payload: bytes
 
     @property
@@ -48,6 +52,8 @@
     version: int
     sender: str
     incarnation: int
+    host: str
+    port: int
     recipient: str
     sequence: int
     payload: bytes
@@ -81,10 +87,9 @@
     The first secret seals; all of them open, so that a secret can be rotated without a stop.
     """
 
-    def __init__(self, fleet: str, name: str, incarnation: int, secrets: list[str]) -> None:
+    def __init__(self, fleet: str, me: Holder, secrets: list[str]) -> None:
         self._fleet = fleet
-        self._name = name
-        self._incarnation = incarnation
+        self._me = me
         self._secrets = [secret.encode() for secret in secrets]
         self._sequences: dict[str, int] = {}
         self._windows: dict[tuple[str, int], _Window] = {}
@@ -97,8 +102,10 @@
             _Envelope(
                 self._fleet,
                 PROTOCOL_VERSION,
-                self._name,
-                self._incarnation,
+                self._me.name,
+                self._me.incarnation,
+                self._me.host,
+                self._me.peer_port,
                 recipient,
                 sequence,
                 payload,
@@ -119,11 +126,17 @@
             return Rejection.STRANGER
         if envelope.version not in PROTOCOL_VERSIONS:
             return Rejection.OTHER_VERSION
-        if envelope.recipient != self._name:
+        if envelope.recipient != self._me.name:
             return Rejection.OTHER_RECIPIENT
         if not self._admit(envelope):
             return Rejection.REPLAY
-        return Opened(envelope.sender, envelope.incarnation, envelope.payload)
+        return Opened(
+            envelope.sender,
+            envelope.incarnation,
+            envelope.host,
+            envelope.port,
+            envelope.payload,
+        )
 
     def _admit(self, envelope: _Envelope) -> bool:
         origin = (envelope.sender, envelope.incarnation)
--- a/src/waxwingshelf/core/gossip.py
+++ b/src/waxwingshelf/core/gossip.py
@@ -152,10 +152,14 @@
         state = self._state
         now_ms = state.clock.now_ms()
         self._turn += 1
+        rumours = state.membership.take_rumours()
+        if state.fence.contact_ms is None:
+            # Nobody has answered yet, so nobody may know where to send the answer.
+            rumours = [state.membership.describe_self(), *rumours]
         return Digest(
             versions=[document.version for document in state.documents],
             confirmed_age_ms=state.fence.confirmed_age_ms(now_ms),
-            rumours=state.membership.take_rumours(),
+            rumours=rumours,
             hints=state.shares.list_hints(state.options.hints_per_message, self._turn, now_ms),
         )
 
--- a/src/waxwingshelf/core/member.py
+++ b/src/waxwingshelf/core/member.py
@@ -12,7 +12,7 @@
 from waxwingshelf.core.gossip import Gossip
 from waxwingshelf.core.holding import Holding
 from waxwingshelf.core.ledger import Holder, Ledger
-from waxwingshelf.core.messages import AddressedMessage, Message
+from waxwingshelf.core.messages import AddressedMessage, Message, ShareTransfer
 from waxwingshelf.core.recovery import Recovery
 from waxwingshelf.core.sharing import Sharing
 from waxwingshelf.core.state import LEDGER_DOCUMENT, MANIFEST_DOCUMENT, MemberOptions, NodeState
@@ -52,6 +52,11 @@
         """Take the messages to send."""
         return self.state.take_outbox()
 
+    def take_back(self, message: Message) -> None:
+        """Undo what a message carried that was certainly not sent."""
+        if isinstance(message, ShareTransfer):
+            self.state.shares.take_back(message, self.state.clock.now_ms())
+
     def observe_manifest(self, version: int, value: Any) -> None:
         """Take in the manifest as read from the key-value service."""
         self._observe(MANIFEST_DOCUMENT, version, value)
--- a/src/waxwingshelf/core/shares.py
+++ b/src/waxwingshelf/core/shares.py
@@ -170,6 +170,14 @@
         account.holding.receive(Gift(transfer.units, transfer.tokens), now_ms)
         return True
 
+    def take_back(self, transfer: ShareTransfer, now_ms: int) -> None:
+        """Add the units of a transfer that was certainly not sent, in the cut that it was made."""
+        account = self._accounts.get(transfer.budget)
+        if account is None or account.generation != transfer.generation:
+            return
+        if transfer.cut == self.cut and transfer.units > 0:
+            account.holding.receive(Gift(transfer.units, transfer.tokens), now_ms)
+
     def note_hints(self, sender: str, hints: list[ShareHint]) -> None:
         """Remember who could spare units."""
         for hint in hints:
--- a/src/waxwingshelf/program/control.py
+++ b/src/waxwingshelf/program/control.py
@@ -12,7 +12,7 @@
 from waxwingshelf.core.claims import ClaimResult, ClaimState, RequestId
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.core.config import Config
-from waxwingshelf.core.envelope import Rejection, Sealer
+from waxwingshelf.core.envelope import Opened, Rejection, Sealer
 from waxwingshelf.core.holding import Holding
 from waxwingshelf.core.ledger import Holder, Ledger, encode_ledger
 from waxwingshelf.core.member import Member
@@ -27,6 +27,7 @@
 LEDGER_KEY = "ledger"
 _WATCH_MS = 1_000
 _IDLE_S = 0.2
+_KEPT_ADDRESSES = 256
 _STORE_BACKOFF_S = 0.5
 _LEAVE_TRIES = 10
 _SHARE_POLL_S = 0.01
@@ -57,6 +58,7 @@
         self._metrics = metrics
         self._seeds = {seed.name: PeerAddress(seed.host, seed.port) for seed in settings.peers}
         self._claims: dict[str, asyncio.Future[ClaimResult]] = {}
+        self._addresses: dict[str, PeerAddress] = {}
         self._store_reachable = False
         incarnation = clock.wall_ms()
         options = MemberOptions(
@@ -181,9 +183,7 @@
         self.member = member
         self.member.claims.set_listener(self._on_claim)
         me = member.state.me
-        self._sealer = Sealer(
-            self._settings.fleet, me.name, me.incarnation, self._settings.fleet_secrets
-        )
+        self._sealer = Sealer(self._settings.fleet, me, self._settings.fleet_secrets)
 
     def _on_claim(self, attempt: str, result: ClaimResult) -> None:
         future = self._claims.get(attempt)
@@ -198,6 +198,7 @@
             if isinstance(opened, Rejection):
                 self._metrics.count(f"peer.rejected.{opened.value}")
                 continue
+            self._note_address(opened)
             try:
                 message = decode_message(opened.payload)
             except msgspec.MsgspecError:
@@ -232,17 +233,26 @@
             address = self._resolve(addressed.recipient)
             if address is None:
                 self._metrics.count("peer.unknown_recipient")
+                self.member.take_back(addressed.message)
                 continue
             data = self._sealer.seal(addressed.recipient, encode_message(addressed.message))
             self._metrics.count("peer.sent_bytes", len(data))
             if not self._transport.send(address, data):
                 self._metrics.count("peer.dropped")
+                self.member.take_back(addressed.message)
 
     def _resolve(self, name: str) -> PeerAddress | None:
         rumour = self.member.state.membership.find(name)
         if rumour is not None:
             return PeerAddress(rumour.host, rumour.peer_port)
-        return self._seeds.get(name)
+        return self._addresses.get(name) or self._seeds.get(name)
+
+    def _note_address(self, opened: Opened) -> None:
+        """Remember where to answer a sender of whom gossip has not told yet."""
+        self._addresses.pop(opened.sender, None)
+        self._addresses[opened.sender] = PeerAddress(opened.host, opened.port)
+        while len(self._addresses) > _KEPT_ADDRESSES:
+            self._addresses.pop(next(iter(self._addresses)))
 
     async def _follow_store(self) -> None:
         while True:
--- a/src/waxwingshelf/program/instance.py
+++ b/src/waxwingshelf/program/instance.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from typing import Any
 
 import structlog
 from aiohttp import web
@@ -95,19 +96,24 @@
             asyncio.create_task(self._prober.run()),
         ]
         stopped = asyncio.create_task(self._stopped.wait())
-        done, _ = await asyncio.wait([*tasks, stopped], return_when=asyncio.FIRST_COMPLETED)
-        if stopped in done:
-            await self._drain()
+        try:
+            done, _ = await asyncio.wait([*tasks, stopped], return_when=asyncio.FIRST_COMPLETED)
+            if stopped in done:
+                await self._drain()
+        finally:
+            await self._clean_up([*tasks, stopped], runner)
+        for task in tasks:
+            if not task.cancelled():
+                task.result()
+
+    async def _clean_up(self, tasks: list[asyncio.Task[Any]], runner: web.AppRunner) -> None:
         for task in tasks:
             task.cancel()
-        results = await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await runner.cleanup()
         await self._client.close()
         await self._store.close()
         self._transport.close()
-        for result in results:
-            if isinstance(result, Exception):
-                raise result
 
     def _build_app(self) -> web.Application:
         app = web.Application(client_max_size=0)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -156,7 +156,7 @@
 
     def _wrap(self, member: Member, region: str) -> Node:
         me = member.state.me
-        sealer = Sealer("test", me.name, me.incarnation, [SECRET])
+        sealer = Sealer("test", me, [SECRET])
         member.claims.set_listener(lambda attempt, result: self.note_claim(attempt, result))
         return Node(member, sealer, region)
 
--- /dev/null
+++ b/tests/test_administration.py
@@ -0,0 +1,201 @@
+"""Changes by operators over real sockets: races, outages, lost answers, scopes, stops."""
+
+import asyncio
+
+from standins.store import Faults
+from tests.conftest import Loopback, is_ready
+from waxwingshelf.core.config import digest_key
+
+RATE = "/organisations/acme/rate_per_s"
+
+
+def build_step(value: float, path: str = RATE) -> list[dict]:
+    return [{"op": "replace", "path": path, "value": value}]
+
+
+async def read_revision(fleet: Loopback, name: str) -> int:
+    _, answer, _ = await fleet.call(name, "GET", "/admin/v1/manifest", fleet.operator_key)
+    return answer["revision"]
+
+
+def test_a_change_is_in_force_everywhere_and_in_the_history(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        status, answer, _ = await fleet.patch("n1", build_step(77), why="less")
+        assert (status, answer["revision"]) == (200, 2)
+        controls = [instance.control for instance in fleet.instances.values()]
+        await fleet.until(lambda: all(control.config.revision == 2 for control in controls))
+        _, history, _ = await fleet.call("n2", "GET", "/admin/v1/history", fleet.operator_key)
+        last = history["revisions"][-1]
+        assert (last["who"], last["why"], last["based_on"]) == ("bootstrap", "less", 1)
+        _, status_page, _ = await fleet.call("n0", "GET", "/admin/v1/status", fleet.operator_key)
+        assert (status_page["revision"], status_page["not_confirmed"]) == (2, [])
+        assert [member["name"] for member in status_page["members"]] == ["n0", "n1", "n2"]
+
+    run_with_fleet(body)
+
+
+def test_two_operators_race(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        answers = await asyncio.gather(
+            fleet.patch("n0", build_step(10), based_on=1, why="ten"),
+            fleet.patch("n1", build_step(20), based_on=1, why="twenty"),
+            fleet.patch("n2", build_step(30, "/organisations/bolt/rate_per_s"), based_on=1),
+        )
+        statuses = [status for status, _, _ in answers]
+        assert sorted(statuses[:2]) == [200, 409]
+        assert statuses[2] == 200
+        problem = next(answer for status, answer, _ in answers if status == 409)
+        assert problem["reason"] == "change_conflict"
+        assert problem["paths"] == ["/organisations/acme"]
+        assert problem["theirs"][0]["why"] in ("ten", "twenty")
+
+    run_with_fleet(body)
+
+
+def test_a_lost_answer_is_found_out(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        fleet.store.faults = Faults(lose_answers=1)
+        status, answer, _ = await fleet.patch("n0", build_step(33))
+        assert (status, answer["revision"]) == (200, 2)
+        assert await read_revision(fleet, "n1") == 2
+
+    run_with_fleet(body)
+
+
+def test_an_outage_refuses_changes_and_keeps_service(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        fleet.store.faults = Faults(down=True)
+        status, problem, headers = await fleet.patch("n0", build_step(33))
+        assert (status, problem["reason"], problem["ran"]) == (503, "store_unavailable", "no")
+        assert "Retry-After" in headers
+        for name in fleet.instances:
+            assert (await fleet.call(name, "GET", "/s/web/x", "acme"))[0] == 200
+        request_id = await fleet.new_id("during")
+        assert (await fleet.order("n0", request_id))[0] == 200
+        fleet.store.faults = Faults()
+        await fleet.until(lambda: is_ready(fleet.instances["n0"]))
+        assert (await fleet.patch("n0", build_step(33)))[0] == 200
+
+    run_with_fleet(body)
+
+
+def test_scopes_of_operators(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        operators = {
+            digest_key("bolt key"): {"name": "b", "organisations": ["bolt"]},
+            digest_key("reader key"): {"name": "r", "services": ["*"], "read_only": True},
+        }
+        steps = [
+            {"op": "add", "path": f"/operators/{digest}", "value": value}
+            for digest, value in operators.items()
+        ]
+        assert (await fleet.patch("n0", steps))[0] == 200
+        cases = [
+            ("bolt key", build_step(5, "/organisations/bolt/rate_per_s"), 200),
+            ("bolt key", build_step(5), 403),
+            ("bolt key", [{"op": "remove", "path": "/operators"}], 403),
+            ("reader key", build_step(5, "/organisations/bolt/rate_per_s"), 403),
+            ("no key", build_step(5), 401),
+        ]
+        for key, patch, expected in cases:
+            body = {"patch": patch, "why": "test"}
+            status, _, _ = await fleet.call("n0", "PUT", "/admin/v1/manifest", key, json=body)
+            assert status == expected, (key, patch)
+        assert (await fleet.call("n0", "GET", "/admin/v1/manifest", "reader key"))[0] == 200
+
+    run_with_fleet(body, "n0")
+
+
+def test_bad_changes_are_explained(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        cases = [
+            ({"patch": build_step(-1), "why": "x"}, 422, "manifest_invalid"),
+            ({"patch": [{"op": "remove", "path": "/keys/none"}], "why": "x"}, 422, None),
+            ({"document": {}, "why": "x"}, 422, "manifest_invalid"),
+            ({"document": 7, "based_on": 1, "why": "x"}, 422, "manifest_invalid"),
+            ({"patch": "all", "why": "x"}, 400, "bad_request"),
+            ({"why": 1}, 400, "bad_request"),
+        ]
+        for change, expected, reason in cases:
+            status, problem, _ = await fleet.call(
+                "n0", "PUT", "/admin/v1/manifest", fleet.operator_key, json=change
+            )
+            assert status == expected, (change, problem)
+            assert reason in (None, problem["reason"])
+        assert await read_revision(fleet, "n0") == 1
+
+    run_with_fleet(body, "n0")
+
+
+def test_a_withdrawn_key_stops_on_connections_already_open(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        for name in fleet.instances:
+            assert (await fleet.call(name, "GET", "/s/web/x", "acme"))[0] == 200
+        path = f"/keys/{digest_key(fleet.keys['acme'])}"
+        assert (await fleet.patch("n2", [{"op": "remove", "path": path}]))[0] == 200
+
+        async def is_refused() -> bool:
+            calls = [fleet.call(name, "GET", "/s/web/x", "acme") for name in fleet.instances]
+            return all(status == 401 for status, _, _ in await asyncio.gather(*calls))
+
+        async with asyncio.timeout(5):
+            await fleet.until(is_refused)
+
+    run_with_fleet(body)
+
+
+def test_a_planned_stop_of_an_instance_cuts_nothing(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        for target in fleet.targets.values():
+            target.behaviour.work_ms = 1_500
+        request_id = await fleet.new_id("kept")
+        running = asyncio.create_task(fleet.order("n0", request_id))
+        await asyncio.sleep(0.2)
+        fleet.instances["n0"].stop()
+        status, first, _ = await running
+        assert status == 200
+
+        async def is_dropped() -> bool:
+            _, answer, _ = await fleet.call("n1", "GET", "/v1/instances?service=web")
+            return "n0" not in [entry["name"] for entry in answer["instances"]]
+
+        await fleet.until(is_dropped)
+        await fleet.until(lambda: fleet.tasks["n0"].done())
+        ledger = fleet.instances["n1"].control.state.ledger
+        await fleet.until(lambda: "n0" not in fleet.instances["n1"].control.state.ledger.holders)
+        assert ledger is not None
+        status, second, _ = await fleet.order("n1", request_id)
+        assert (status, second) == (200, first)
+
+    run_with_fleet(body)
+
+
+def test_a_new_instance_learns_from_peers_while_the_store_is_down(run_with_fleet) -> None:
+    async def body(fleet: Loopback) -> None:
+        import msgspec
+
+        from tools.processes import find_ports
+        from waxwingshelf.program.settings import Peer
+
+        fleet.store.faults = Faults(down=True)
+        port, peer_port = find_ports(2)
+        peer = fleet.settings["n0"]
+        fleet.settings["n9"] = msgspec.structs.replace(
+            peer,
+            name="n9",
+            port=port,
+            peer_port=peer_port,
+            peers=[Peer(name="n0", host=peer.host, port=peer.peer_port)],
+        )
+        fleet.ports["n9"] = port
+        fleet.start_instance("n9")
+
+        async def serves() -> bool:
+            try:
+                return (await fleet.call("n9", "GET", "/s/web/x", "acme"))[0] == 200
+            except OSError:
+                return False
+
+        await fleet.until(serves)
+
+    run_with_fleet(body)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -114,6 +114,7 @@
         assert (status, problem["ran"]) == (503, "no")
         assert int(headers["Retry-After"]) >= 1
         fleet.targets["orders-1"].behaviour.mode = "normal"
+        await asyncio.sleep(int(headers["Retry-After"]))
         assert (await fleet.order("n1", request_id))[0] == 200
         assert count_runs(fleet, request_id) == 1
 
