--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,50 @@
+"""Pages agree with the code and the tests that they name."""
+
+import ast
+import re
+from pathlib import Path
+
+from waxwingshelf.adapters.target_http import FailureKind
+from waxwingshelf.core.envelope import Rejection
+from waxwingshelf.core.outcomes import REASONS
+from waxwingshelf.core.targets import Health
+
+PROMISES = Path("docs/PROMISES.md")
+METRICS = Path("docs/operators/metrics.md")
+REFUSALS = Path("docs/operators/refusals.md")
+METRIC_CALL = re.compile(r'_metrics\.(?:count|time|gauge)\(\s*(f?)"([^"]+)"')
+
+
+def list_tests() -> set[str]:
+    names = set()
+    for path in Path("tests").glob("test_*.py"):
+        for node in ast.parse(path.read_text()).body:
+            if isinstance(node, ast.FunctionDef) and node.name.startswith("test_"):
+                names.add(f"{path.name}::{node.name}")
+    return names
+
+
+def list_metrics() -> set[str]:
+    names = set()
+    for path in Path("src").rglob("*.py"):
+        for is_format, name in METRIC_CALL.findall(path.read_text()):
+            names.add(re.sub(r"\{.*\}", "*", name) if is_format else name)
+    return names
+
+
+def test_promises_name_tests_that_exist() -> None:
+    named = set(re.findall(r"test_\w+\.py::test_\w+", PROMISES.read_text()))
+    assert named
+    assert named <= list_tests()
+
+
+def test_every_metric_is_on_the_page() -> None:
+    text = METRICS.read_text()
+    assert {name for name in list_metrics() if f"`{name}`" not in text} == set()
+    for kinds in (Rejection, FailureKind, Health):
+        assert all(kind.value in text for kind in kinds if kind is not Health.HEALTHY)
+
+
+def test_every_refusal_reason_is_on_the_page() -> None:
+    text = REFUSALS.read_text()
+    assert {name for name in REASONS if f"`{name}`" not in text} == set()
