Forget what the ledger tells, and measure the worst-served

Ruled out: growth of the ledger, the manifest's log or the membership.

Change: each cut drops what the ledger itself tells by then; a new holder asks up to five times for its first part. The bench now measures the worst-served organisation, the drain of a target, and a burst of little over one token an instance.

--- a/src/waxwingshelf/core/recovery.py
+++ b/src/waxwingshelf/core/recovery.py
@@ -209,8 +209,7 @@
         state = self._state
         me = state.me.identity
         if cut.number > state.shares.cut:
-            present = {h.identity for h in ledger.holders.values() if h.joined <= cut.started}
-            state.shares.met -= present
+            self._forget_settled(ledger, cut.started)
             self._report = CutReport(
                 cut.number,
                 state.shares.count_held(),
@@ -228,3 +227,15 @@
                 self._collector.add(me, self._report, now_ms)
         elif self._report is not None:
             state.send(self._report_to, self._report)
+
+    def _forget_settled(self, ledger: Ledger, version: int) -> None:
+        """Drop what the ledger itself tells as of a version, so that no list grows for ever."""
+        state = self._state
+        gone = {each.holder.identity for each in ledger.departures if each.left <= version}
+        present = {h.identity for h in ledger.holders.values() if h.joined <= version}
+        state.shares.met -= present | gone
+        for identity in gone & state.departed.keys():
+            del state.departed[identity]
+        for name in state.peer_versions.keys() - ledger.holders.keys():
+            if state.membership.find(name) is None:
+                del state.peer_versions[name]
--- a/src/waxwingshelf/core/shares.py
+++ b/src/waxwingshelf/core/shares.py
@@ -18,6 +18,7 @@
 _ASKED_PEERS = 3
 _KEPT_HINTS = 8
 _KEPT_EARLY = 64
+_FIRST_ASKS = 5
 _SMALLEST_PART = 20
 
 
@@ -40,7 +41,7 @@
 
     __slots__ = (
         "asked_ms",
-        "fresh",
+        "first_asks",
         "generation",
         "hints",
         "holding",
@@ -55,7 +56,7 @@
         self.pause_ms = _MIN_PAUSE_MS
         self.asked_ms = -_MAX_PAUSE_MS
         self.next_peer = 0
-        self.fresh = True
+        self.first_asks = _FIRST_ASKS
         self.waiting = 0
         self.hints: dict[str, int] = {}
 
@@ -163,9 +164,9 @@
         if account is None or account.generation != transfer.generation:
             return False
         account.hints.pop(sender, None)
-        account.fresh = False
         if transfer.units <= 0:
             return True
+        account.first_asks = 0
         account.pause_ms = _MIN_PAUSE_MS
         account.holding.receive(Gift(transfer.units, transfer.tokens), now_ms)
         return True
@@ -219,7 +220,8 @@
             return None
         held = account.holding.units
         need = account.holding.need_units(now_ms)
-        if account.fresh:
+        if account.first_asks > 0:
+            account.first_asks -= 1
             # A new holder asks for an equal part, so that its first callers need not wait.
             need = max(need, TOTAL_UNITS // (len(peers) + 1))
         if need <= held and account.waiting == 0:
@@ -268,7 +270,7 @@
             if account is None or account.generation > version:
                 continue
             part = _divide(total, len(roster), place)
-            account.fresh = False
+            account.first_asks = 0
             # Tokens come with time: whoever held these units before may have just used theirs.
             account.holding.receive(Gift(part, 0.0), now_ms)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -194,7 +194,9 @@
     def receive(self, sender: str, recipient: str, data: bytes) -> None:
         """Hand one datagram to a process, as far as it can be reached."""
         node = self.nodes.get(recipient)
-        if node is None or not node.alive or self.is_cut(sender, recipient):
+        if node is None or not node.alive or sender not in self.nodes:
+            return
+        if self.is_cut(sender, recipient):
             return
         if node.frozen:
             node.backlog.append((sender, data))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -220,6 +220,31 @@
     assert revisions == {2}
 
 
+def test_an_eighth_of_a_day_of_replacements_and_changes(fleet: FakeFleet) -> None:
+    """S11: 40 replacements and 250 changes, compressed; nothing drifts, grows or goes back."""
+    for number in range(40):
+        fleet.start(f"n{number + 8}")
+        for change in range(6 + number % 2):
+            patch = [{"op": "replace", "path": "/organisations/bolt/rate_per_s", "value": 20.0}]
+            via = fleet.list_running()[change]
+            fleet.change(via, Change(f"c{number}-{change}", "day", 0, patch=patch))
+            fleet.advance(200)
+        fleet.request(f"n{number + 8}", "acme")
+        leave(fleet, f"n{number}")
+        del fleet.nodes[f"n{number}"]
+    fleet.audit()
+    assert fleet.count_units(BUDGET) == TOTAL_UNITS
+    for node in fleet.nodes.values():
+        state = node.member.state
+        assert state.ledger is not None and len(state.ledger.holders) == 8
+        assert len(state.membership.list_alive()) == 7
+        assert not state.shares.met
+        assert not state.departed
+        assert len(state.peer_versions) <= 8
+    _, value = fleet.store.read("manifest")
+    assert len(value["log"]) <= 50
+
+
 def test_losses_and_doubles_of_messages_keep_the_sum(fleet: FakeFleet) -> None:
     """S12: what is lost comes back with the next audit."""
     fleet.loss, fleet.doubling, fleet.max_delay_ms = 0.3, 0.3, 900
--- a/tools/bench/serving.py
+++ b/tools/bench/serving.py
@@ -26,6 +26,10 @@
 _LIMIT_US = 10_000_000
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _HALF_CORE = 0.5
+_GREEDY_PER_S = 50
+_SMALL_PER_S = 40
+_WORST_S = 8.0
+_DRAIN_S = 4.0
 
 
 class _Bench:
@@ -45,6 +49,8 @@
             self._measure_idle()
             asyncio.run(self._measure_lookups())
             asyncio.run(self._measure_requests())
+            asyncio.run(self._measure_worst_served())
+            asyncio.run(self._measure_drain())
         finally:
             self._fleet.stop()
 
@@ -80,8 +86,15 @@
             "regions": {f"r{n}": {"failure_domains": [f"r{n}-1"]} for n in range(3)},
             "services": {"web": {"deadline_ms": 5000, "slots": 64}},
             "targets": {"t": target},
-            "organisations": {"acme": {"rate_per_s": 100_000, "burst": 100_000}},
-            "keys": {digest_key(self._caller_key): {"organisation": "acme"}},
+            "organisations": {
+                "acme": {"rate_per_s": 100_000, "burst": 100_000},
+                "greedy": {"rate_per_s": _GREEDY_PER_S, "burst": _GREEDY_PER_S},
+                "small": {"rate_per_s": 2 * _SMALL_PER_S, "burst": 2 * _SMALL_PER_S},
+            },
+            "keys": {
+                digest_key(self._caller_key + name): {"organisation": name}
+                for name in ("acme", "greedy", "small")
+            },
         }
 
     def _measure_idle(self) -> None:
@@ -103,7 +116,7 @@
 
     async def _measure_requests(self) -> None:
         count = _REQUESTS // self._scale
-        headers = {"Authorization": f"Bearer {self._caller_key}"}
+        headers = self._build_headers("acme")
         urls = {
             "direct": f"http://127.0.0.1:{self._target_port}/x",
             "through": f"http://127.0.0.1:{self._port}/s/web/x",
@@ -126,6 +139,54 @@
         self._compare(histograms, 50, 1.0)
         self._compare(histograms, 99, 5.0)
 
+    def _build_headers(self, organisation: str) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self._caller_key}{organisation}"}
+
+    async def _measure_worst_served(self) -> None:
+        """Compare a small organisation with and without one that sends ten times its rate."""
+        seconds = _WORST_S / self._scale
+        async with aiohttp.ClientSession() as session:
+            alone = await self._drive(session, "small", _SMALL_PER_S, seconds)
+            greedy = asyncio.create_task(
+                self._drive(session, "greedy", 10 * _GREEDY_PER_S, seconds)
+            )
+            beside = await self._drive(session, "small", _SMALL_PER_S, seconds)
+            taken = await greedy
+        self._report.add("worst.served_share", beside / alone, "", 0.99, at_most=False)
+        most = _GREEDY_PER_S * (1 + seconds)
+        self._report.add("worst.greedy_answered", taken, "requests", most)
+
+    async def _drive(
+        self, session: aiohttp.ClientSession, organisation: str, per_s: float, seconds: float
+    ) -> int:
+        """Send evenly to all instances in turn; return how many were answered."""
+        ports = [spec.port for spec in self._fleet.instances.values()]
+        headers = self._build_headers(organisation)
+
+        async def send(number: int) -> bool:
+            await asyncio.sleep(number / per_s)
+            url = f"http://127.0.0.1:{ports[number % len(ports)]}/s/web/x"
+            async with session.get(url, headers=headers) as response:
+                await response.read()
+                return response.status == 200
+
+        return sum(await asyncio.gather(*(send(n) for n in range(int(per_s * seconds)))))
+
+    async def _measure_drain(self) -> None:
+        """Drain the target under load from all instances and see when it gets no more work."""
+        async with aiohttp.ClientSession() as session:
+            load = asyncio.create_task(self._drive(session, "small", _SMALL_PER_S, _DRAIN_S))
+            await asyncio.sleep(1)
+            patch = [{"op": "add", "path": "/planned_stops/t", "value": {"kind": "target"}}]
+            body = {"patch": patch, "why": "bench"}
+            await asyncio.to_thread(call, "PUT", self._port, "/admin/v1/manifest", body, self._key)
+            accepted_s = time.monotonic()
+            await load
+        record = call("GET", self._target_port, "/control/record")
+        last_s = (time.monotonic() - accepted_s) - min(record["run_ages_ms"]) / 1000
+        self._report.add("drain.last_new_work_after", max(0.0, last_s), "s", 2.0)
+        self._report.add("drain.left_in_flight", record["in_flight"], "requests", 0)
+
     def _compare(self, histograms: dict[str, Any], percentile: int, bound_ms: float) -> None:
         direct, through = (
             histograms[name].get_value_at_percentile(percentile) / 1000
--- a/tools/bench/sharing.py
+++ b/tools/bench/sharing.py
@@ -18,6 +18,7 @@
 _RUN_MS = 20_000
 _MOVE_MS = 10_000
 _LEASE_MS = 1_000
+_TIGHT_PER_S = 18.0
 
 
 @dataclass
@@ -38,6 +39,7 @@
     """Measure transfers between holders against three other ways, at the same load."""
     run_ms = _RUN_MS // 4 if quick else _RUN_MS
     _add(report, "transfers", _run_transfers(run_ms), bounded=True)
+    _measure_tight(report, run_ms)
     _add(report, "static_split", _run_static(run_ms))
     _add(report, "store_leases", _run_leases(run_ms))
     _add(report, "hashed_owner", _run_owner(run_ms))
@@ -98,6 +100,23 @@
     return _Result(*refused, (fleet.sent - sent) / seconds, (fleet.store.calls - calls) / seconds)
 
 
+def _measure_tight(report: Report, run_ms: int) -> None:
+    """Measure an organisation whose burst is little over one token for each instance."""
+    fleet = build_fleet(_SIZE, 1)
+    start_ms = fleet.clock.now_ms()
+    names = sorted(fleet.nodes)
+    admitted = refused = 0
+    while fleet.clock.now_ms() < start_ms + run_ms:
+        fleet.advance(50)
+        due = int(_TIGHT_PER_S * (fleet.clock.now_ms() - start_ms) / 1000)
+        while admitted + refused < due:
+            if fleet.request(names[(admitted + refused) % _SIZE], "bolt"):
+                admitted += 1
+            else:
+                refused += 1
+    report.add("sharing.tight_burst.refused_even", 100 * refused / (admitted + refused), "%", 0.1)
+
+
 def _build_holdings() -> list[RateHolding]:
     holdings = [RateHolding(Limit("rate", BURST, RATE_PER_S), 0) for _ in range(_SIZE)]
     for holding in holdings:
