Split the request path by job, and give the bench its caps

Change: answers, headers and bodies are modules of their own; the bench has caps and a figure for what the small organisation gets alone.

--- /dev/null
+++ b/src/waxwingshelf/program/headers.py
@@ -0,0 +1,57 @@
+"""Headers of the request path, and which of them go on to the other side."""
+
+from __future__ import annotations
+
+from waxwingshelf.adapters.target_http import ID_HEADER, LOAD_HEADER
+
+__all__ = [
+    "DEADLINE_HEADER",
+    "ID_KEY_HEADER",
+    "ORGANISATION_HEADER",
+    "REPLAYED_HEADER",
+    "is_passed_back",
+    "is_passed_on",
+]
+
+DEADLINE_HEADER = "X-Deadline-Ms"
+ORGANISATION_HEADER = "X-Organisation"
+ID_KEY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "X-Replayed"
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    }
+)
+_PRIVATE_HEADERS = frozenset(
+    {
+        "authorization",
+        "cookie",
+        ID_HEADER.lower(),
+        ORGANISATION_HEADER.lower(),
+        DEADLINE_HEADER.lower(),
+        ID_KEY_HEADER.lower(),
+    }
+)
+_TARGET_HEADERS = frozenset({ID_HEADER.lower(), LOAD_HEADER.lower()})
+
+
+def is_passed_on(header: str) -> bool:
+    """Tell whether a caller's header goes on to the target: never the key."""
+    name = header.lower()
+    return name not in _HOP_HEADERS and name not in _PRIVATE_HEADERS
+
+
+def is_passed_back(header: str) -> bool:
+    """Tell whether a target's header goes back to the caller."""
+    name = header.lower()
+    return name not in _HOP_HEADERS and name not in _TARGET_HEADERS
--- a/src/waxwingshelf/program/requests.py
+++ b/src/waxwingshelf/program/requests.py
@@ -7,12 +7,11 @@
 import secrets
 from dataclasses import dataclass
 
-import aiohttp
 import structlog
 from aiohttp import web
 from multidict import CIMultiDict
 
-from waxwingshelf.adapters.target_http import ID_HEADER, LOAD_HEADER, TargetRequest
+from waxwingshelf.adapters.target_http import ID_HEADER, TargetRequest
 from waxwingshelf.core import outcomes
 from waxwingshelf.core.budgets import name_organisation
 from waxwingshelf.core.claims import ClaimResult, ClaimState, RequestId, parse_request_id
@@ -22,48 +21,27 @@
 from waxwingshelf.core.messages import Claim, ClaimAnswer
 from waxwingshelf.core.outcomes import Ran, Refusal, refuse
 from waxwingshelf.ports import Metrics
+from waxwingshelf.program.answers import AnswerRelay, build_kept_response
 from waxwingshelf.program.bodies import BodyError, BodyReader
 from waxwingshelf.program.control import Control
-from waxwingshelf.program.dispatcher import Dispatcher, Job, Sent
+from waxwingshelf.program.dispatcher import Dispatcher, Job
+from waxwingshelf.program.headers import (
+    DEADLINE_HEADER,
+    ID_KEY_HEADER,
+    ORGANISATION_HEADER,
+    REPLAYED_HEADER,
+    is_passed_on,
+)
 from waxwingshelf.program.problems import build_problem
 
 __all__ = ["RequestPath"]
 
-DEADLINE_HEADER = "X-Deadline-Ms"
-ORGANISATION_HEADER = "X-Organisation"
-ID_KEY_HEADER = "Idempotency-Key"
-_REPLAYED_HEADER = "X-Replayed"
 _BEARER = "Bearer "
 _SMALL_BODY_BYTES = 65_536
 _CLAIM_WAIT_S = 1.0
 _RETRY_AFTER_MS = 1_000
 _MS_PER_S = 1_000
 _MAX_DEADLINE_DIGITS = 9
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-        "expect",
-    }
-)
-_PRIVATE_HEADERS = frozenset(
-    {
-        "authorization",
-        "cookie",
-        ID_HEADER.lower(),
-        ORGANISATION_HEADER.lower(),
-        DEADLINE_HEADER.lower(),
-        ID_KEY_HEADER.lower(),
-    }
-)
 _log = structlog.get_logger("requests")
 
 
@@ -89,6 +67,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._metrics = metrics
+        self._answers = AnswerRelay(dispatcher, metrics)
         self._background: set[asyncio.Task[object]] = set()
         self.draining = False
         self.in_flight = 0
@@ -210,7 +189,7 @@
             return error.refusal
         if isinstance(sent, Refusal):
             return sent
-        return await self._relay(request, caller, sent)
+        return await self._answers.relay(request, caller.service_name, caller.request_id, sent)
 
     async def _serve_once(
         self, request: web.Request, caller: _Caller
@@ -239,7 +218,7 @@
         answer = await asyncio.shield(task)
         if isinstance(answer, Refusal):
             return answer
-        return _build_kept_response(answer)
+        return build_kept_response(answer)
 
     async def _run_once(
         self,
@@ -265,64 +244,16 @@
             else:
                 self._control.abandon_claim(claim.attempt)
             return outcome
-        answer = await self._read_whole(caller, outcome)
+        answer = await self._answers.read_whole(caller.service_name, outcome)
         if isinstance(answer, Refusal):
             self._control.abandon_claim(claim.attempt)
             return answer
         self._control.finish_claim(claim.attempt, answer)
         return answer
 
-    async def _read_whole(self, caller: _Caller, sent: Sent) -> ClaimAnswer | Refusal:
-        answer = sent.answer
-        parts = [answer.head]
-        whole = answer.whole
-        try:
-            while not whole:
-                part = await answer.read_rest()
-                whole = not part
-                parts.append(part)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            return refuse(outcomes.TARGET_FAILED, peer=sent.route.state.name, detail=repr(error))
-        finally:
-            self._dispatcher.end(caller.service_name, sent, whole)
-        headers = [(str(k), v) for k, v in answer.headers.items() if _is_passed_back(k)]
-        return ClaimAnswer(answer.status, headers, b"".join(parts))
-
-    async def _relay(
-        self, request: web.Request, caller: _Caller, sent: Sent
-    ) -> web.StreamResponse | Refusal:
-        answer = sent.answer
-        headers = CIMultiDict((k, v) for k, v in answer.headers.items() if _is_passed_back(k))
-        headers[ID_HEADER] = caller.request_id
-        whole = answer.whole
-        try:
-            if whole:
-                return web.Response(status=answer.status, headers=headers, body=answer.head)
-            length = answer.headers.get("Content-Length")
-            response = web.StreamResponse(status=answer.status, headers=headers)
-            if length is not None:
-                response.content_length = int(length)
-            await response.prepare(request)
-            await response.write(answer.head)
-            while not whole:
-                part = await answer.read_rest()
-                whole = not part
-                if part:
-                    await response.write(part)
-            await response.write_eof()
-            return response
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            # The head is sent already: the caller must see a broken answer, not a short one.
-            self._metrics.count("answers_cut")
-            if request.transport is not None:
-                request.transport.abort()
-            return response
-        finally:
-            self._dispatcher.end(caller.service_name, sent, whole)
-
     def _build_job(self, request: web.Request, caller: _Caller, body: object, run_id: str) -> Job:
         left_ms = max(1, caller.deadline_ms - self._clock.now_ms())
-        headers = CIMultiDict((k, v) for k, v in request.headers.items() if _is_passed_on(k))
+        headers = CIMultiDict((k, v) for k, v in request.headers.items() if is_passed_on(k))
         headers[ID_HEADER] = caller.request_id
         headers[DEADLINE_HEADER] = str(left_ms)
         if caller.organisation:
@@ -360,7 +291,7 @@
 def _explain_claim(result: ClaimResult) -> ClaimAnswer | Refusal:
     if result.state is ClaimState.DONE and result.answer is not None:
         answer = result.answer
-        return ClaimAnswer(answer.status, [*answer.headers, (_REPLAYED_HEADER, "1")], answer.body)
+        return ClaimAnswer(answer.status, [*answer.headers, (REPLAYED_HEADER, "1")], answer.body)
     reason = {
         ClaimState.NOT_KEPT: outcomes.ANSWER_NOT_KEPT,
         ClaimState.REUSED: outcomes.ID_REUSED,
@@ -368,17 +299,3 @@
         ClaimState.LOST: outcomes.IN_PROGRESS,
     }.get(result.state, outcomes.CLAIM_UNAVAILABLE)
     return refuse(reason, retry_after_ms=_RETRY_AFTER_MS)
-
-
-def _build_kept_response(answer: ClaimAnswer) -> web.Response:
-    headers = CIMultiDict(answer.headers)
-    return web.Response(status=answer.status, headers=headers, body=answer.body)
-
-
-def _is_passed_on(header: str) -> bool:
-    return header.lower() not in _HOP_HEADERS | _PRIVATE_HEADERS
-
-
-def _is_passed_back(header: str) -> bool:
-    name = header.lower()
-    return name not in _HOP_HEADERS and name not in (ID_HEADER.lower(), LOAD_HEADER.lower())
--- a/tools/bench/serving.py
+++ b/tools/bench/serving.py
@@ -86,6 +86,7 @@
             "regions": {f"r{n}": {"failure_domains": [f"r{n}-1"]} for n in range(3)},
             "services": {"web": {"deadline_ms": 5000, "slots": 64}},
             "targets": {"t": target},
+            "shift_caps": {f"r{n}>r0": {"requests_per_s": 10_000, "burst": 10_000} for n in (1, 2)},
             "organisations": {
                 "acme": {"rate_per_s": 100_000, "burst": 100_000},
                 "greedy": {"rate_per_s": _GREEDY_PER_S, "burst": _GREEDY_PER_S},
@@ -152,9 +153,12 @@
             )
             beside = await self._drive(session, "small", _SMALL_PER_S, seconds)
             taken = await greedy
+        due = int(_SMALL_PER_S * seconds)
+        self._report.add("worst.answered_alone", alone / due, "of sent", 0.99, at_most=False)
         self._report.add("worst.served_share", beside / alone, "", 0.99, at_most=False)
         most = _GREEDY_PER_S * (1 + seconds)
         self._report.add("worst.greedy_answered", taken, "requests", most)
+        self._report.add("worst.greedy_share", taken / (_GREEDY_PER_S * seconds), "of its rate")
 
     async def _drive(
         self, session: aiohttp.ClientSession, organisation: str, per_s: float, seconds: float
