Refuse what a removed service leaves behind, and explain own faults

Cause: read as a newcomer, the dispatcher took the lane of a service for granted; a service removed between admission and dispatch ended in a bare status 500. So did any other fault of the instance.

Ruled out: a loss of the claim in that case (it is abandoned, so the id stays claimed and "unknown" is right).

--- a/src/waxwingshelf/core/outcomes.py
+++ b/src/waxwingshelf/core/outcomes.py
@@ -123,6 +123,9 @@
 DEADLINE_PASSED = _register(
     "deadline_passed", 504, Step.ANSWER, "The deadline passed after sending", Ran.UNKNOWN
 )
+INTERNAL_ERROR = _register(
+    "internal_error", 500, Step.ANSWER, "The instance failed; its log says how", Ran.UNKNOWN
+)
 OPERATOR_KEY_INVALID = _register(
     "operator_key_invalid", 401, Step.ADMINISTER, "The operator key is not valid"
 )
--- a/src/waxwingshelf/program/dispatcher.py
+++ b/src/waxwingshelf/program/dispatcher.py
@@ -117,7 +117,10 @@
     async def dispatch(self, config: Config, job: Job) -> Sent | Refusal:
         """Send a job until it is answered, cannot be retried or runs out of time."""
         self.follow_config()
-        lane = self._lanes[job.service]
+        lane = self._lanes.get(job.service)
+        if lane is None:
+            # The service was removed after the request had been admitted.
+            return refuse(outcomes.SERVICE_UNKNOWN)
         service = config.manifest.services[job.service]
         lane.retries.note_request(job.organisation, service.retry_share)
         tried: frozenset[str] = frozenset()
--- a/src/waxwingshelf/program/requests.py
+++ b/src/waxwingshelf/program/requests.py
@@ -76,9 +76,13 @@
         """Answer a request, by a target or by a refusal."""
         started_ms = self._clock.now_ms()
         request_id = secrets.token_hex(8)
+        result: web.StreamResponse | Refusal
         self.in_flight += 1
         try:
             result = await self._serve(request, request_id, started_ms)
+        except Exception:
+            _log.exception("failed", request_id=request_id)
+            result = refuse(outcomes.INTERNAL_ERROR)
         finally:
             self.in_flight -= 1
         if isinstance(result, Refusal):
