Leave an idle peer some of its share, and take ports out of a race

Cause: four test runs at the same time failed twice. A fleet was taken for ready only when every instance held a part of every budget, which an idle one need not: a newcomer's first request took a whole equal part from each of up to three idle peers. And ports were probed in the range that the kernel gives to outgoing connections, so another socket could take one before its server did.

Ruled out: a fence or a lost part (the instances might use their shares).

Change: a newcomer asks one peer for half of an equal part; a fleet is ready when shares may be used; ports come from below that range. No assertion of a test was changed.

--- a/src/waxwingshelf/core/shares.py
+++ b/src/waxwingshelf/core/shares.py
@@ -220,17 +220,19 @@
             return None
         held = account.holding.units
         need = account.holding.need_units(now_ms)
-        if account.first_asks > 0:
+        asked = _ASKED_PEERS
+        if need <= held and account.first_asks > 0:
+            # A new holder asks one peer for half of an equal part, so that its first callers need
+            # not wait and an idle peer keeps something for its own.
             account.first_asks -= 1
-            # A new holder asks for an equal part, so that its first callers need not wait.
-            need = max(need, TOTAL_UNITS // (len(peers) + 1))
+            need = TOTAL_UNITS // (2 * (len(peers) + 1))
+            asked = 1
         if need <= held and account.waiting == 0:
             return None
         account.asked_ms = now_ms
         account.pause_ms = min(account.pause_ms * 2, _MAX_PAUSE_MS)
-        generation, waiting = account.generation, account.waiting
-        request = ShareRequest(budget, generation, held, need, waiting)
-        return Shortage(request, self._choose_peers(account, peers))
+        request = ShareRequest(budget, account.generation, held, need, account.waiting)
+        return Shortage(request, self._choose_peers(account, peers)[:asked])
 
     def _choose_peers(self, account: _Account, peers: list[str]) -> list[str]:
         known = sorted(account.hints, key=lambda name: account.hints[name], reverse=True)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -19,6 +20,7 @@
 
 _HOST = "127.0.0.1"
 _SECRET = "loopback-fleet-secret"
+_PORTS = range(12_000, 32_000)
 _READY_S = 15.0
 _POLL_S = 0.05
 
@@ -35,13 +37,14 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Find ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((_HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Find ports that are free now, below those that the kernel gives to outgoing connections."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = secrets.choice(_PORTS)
+        with socket.socket() as probe:
+            free = port not in ports and probe.connect_ex((_HOST, port)) != 0
+        if free:
+            ports.append(port)
     return ports
 
 
@@ -115,7 +118,7 @@
         for name in names or list(self.instances):
             while True:
                 status = call("GET", self.instances[name].port, "/admin/v1/status?shares", key=key)
-                if status["uses_shares"] and any(status["shares"].values()):
+                if status["uses_shares"] and status["shares"]:
                     break
                 if time.monotonic() > deadline:
                     raise TimeoutError(f"{name} holds no usable shares: {status}")
