Name the states of live members once

Cause: two methods of the membership each built the same pair of states, one of them at every period.

Ruled out: a change of behaviour; the pair is the same.

Change: one constant.

Measured: lint is clean; scenarios, deliberate faults and import rules, 73 tests, pass. The other tests were not run again on this commit.

--- a/src/waxwingshelf/core/membership.py
+++ b/src/waxwingshelf/core/membership.py
@@ -35,6 +35,7 @@
     LEFT = "left"
 
 
+_LIVE_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
 _PRECEDENCE = {state.value: place for place, state in enumerate(MemberState)}
 
 
@@ -79,9 +80,8 @@
     def list_alive(self) -> list[str]:
         """List the names of other members that are not known to be dead or gone."""
         if self._alive is None:
-            wanted = (MemberState.ALIVE, MemberState.SUSPECT)
             entries = self._entries.items()
-            self._alive = [name for name, entry in entries if entry.rumour.state in wanted]
+            self._alive = [name for name, entry in entries if entry.rumour.state in _LIVE_STATES]
         return self._alive
 
     def list_identities(self) -> set[str]:
@@ -249,7 +249,6 @@
                 self._spread(name)
 
     def _choose_next(self) -> str | None:
-        wanted = (MemberState.ALIVE, MemberState.SUSPECT)
         if not self.list_alive():
             return None
         while True:
@@ -258,7 +257,7 @@
                 self._rng.shuffle(self._order)
             name = self._order.pop()
             entry = self._entries.get(name)
-            if entry is not None and entry.rumour.state in wanted:
+            if entry is not None and entry.rumour.state in _LIVE_STATES:
                 return name
 
     def _note_change(self) -> None:
