Keep objects with few targets, and let requests wait for room in order of worth

Typical times included the wait at the target, so every target looked slow and every detour cheap; detours drove warm objects out, and cold runs take three times the slots. Change: typical times only from requests that found a slot, warm and cold apart; an object has three targets at most; at most a third of the slots queue at a target, the rest waits here, in-aim and urgent first; answers without length that end by a reset are failures.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import dataclass, field
 
@@ -11,7 +12,7 @@
 from waxwingshelf.platform.names import DEADLINE_HEADER, TARGET_HEADER
 from waxwingshelf.serving.beliefs import Beliefs
 from waxwingshelf.serving.metrics import Metrics
-from waxwingshelf.serving.services import Services
+from waxwingshelf.serving.services import Send, Services
 from waxwingshelf.serving.upstream import (
     Answered,
     FailureKind,
@@ -21,13 +22,15 @@
 )
 from waxwingshelf.steering.attempts import AttemptEnd, Attempts, NextStep
 from waxwingshelf.steering.config import RouteRule
-from waxwingshelf.steering.placement import Placement, PlacementRequest
+from waxwingshelf.steering.placement import PlacementRequest
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
+from waxwingshelf.steering.waiting import Waiter, WaitingLine
 
 __all__ = ["Dispatcher", "Exchange", "pick_return_ms"]
 
 _RETURN_MS = (150, 450)
 _FAILED_STATUS = 500
+_POLL_S = 0.02
 _ENDS = {
     FailureKind.NOT_CONNECTED: AttemptEnd.NOT_CONNECTED,
     FailureKind.SHED: AttemptEnd.NOT_RUN,
@@ -40,12 +43,14 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """One request on its way; `deadline_ms` is a clock reading."""
+    """One request on its way; `aim_at_ms` and `deadline_ms` are clock readings."""
 
     id: str
     route: RouteRule
     service: str
     object_key: str
+    priority: int
+    aim_at_ms: int
     deadline_ms: int
     allowed_regions: frozenset[str]
     outgoing: OutgoingRequest
@@ -55,6 +60,9 @@
     peer: str = ""
 
 
+_Waiting = tuple[Exchange, "asyncio.Future[Send | None]"]
+
+
 class Dispatcher:
     """Own the way of requests to targets."""
 
@@ -71,55 +79,105 @@
         self._upstream = upstream
         self._clock = clock
         self._metrics = metrics
+        self._lines: dict[str, WaitingLine[_Waiting]] = {}
+
+    async def run(self) -> None:
+        """Offer room that appeared for other reasons than an own request's end, for ever."""
+        while True:
+            await asyncio.sleep(_POLL_S)
+            for service in list(self._lines):
+                self._serve_line(service)
 
     async def dispatch(self, exchange: Exchange) -> Answered | Refusal:
         """Send a request until it is answered, cannot be repeated or runs out of time."""
         while True:
-            now_ms = self._clock.now_ms()
-            if now_ms >= exchange.deadline_ms:
+            if self._clock.now_ms() >= exchange.deadline_ms:
                 return _settle(exchange, _refuse_late(exchange))
-            placement = self._place(exchange, now_ms)
-            if isinstance(placement, Refusal):
-                return _settle(exchange, placement)
-            result = await self._send(exchange, placement, exchange.deadline_ms - now_ms)
+            send = await self._find_room(exchange)
+            if isinstance(send, Refusal):
+                return _settle(exchange, send)
+            result = await self._send(exchange, send)
             settled = self._judge(exchange, result)
             if settled is not None:
                 return settled
 
-    def _place(self, exchange: Exchange, now_ms: int) -> Placement | Refusal:
+    async def _find_room(self, exchange: Exchange) -> Send | Refusal:
+        line = self._lines.setdefault(exchange.service, WaitingLine())
+        if not line:
+            send = self._place(exchange)
+            if send is not None:
+                return send
+        usable = self._beliefs.book.list_usable(exchange.service)
+        if not usable:
+            return _refuse(exchange, RefusalReason.NO_TARGET, Step.PLACE, "no target is known")
+        durations = self._services.find_durations(exchange.route)
+        future: asyncio.Future[Send | None] = asyncio.get_running_loop().create_future()
+        waiter = Waiter(
+            (exchange, future),
+            exchange.priority,
+            exchange.aim_at_ms - int(durations.warm_ms),
+            exchange.deadline_ms - int(durations.warm_ms),
+        )
+        if not line.add(waiter):
+            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
+        self._serve_line(exchange.service)
+        try:
+            send = await future
+        except asyncio.CancelledError:
+            line.remove(waiter)
+            if future.done() and not future.cancelled() and (given := future.result()):
+                self._services.close_send(given)
+            raise
+        if send is None:
+            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, f"{len(line)} wait")
+        return send
+
+    def _serve_line(self, service: str) -> None:
+        line = self._lines.get(service)
+        if not line:
+            return
+        now_ms = self._clock.now_ms()
+        for waiter in line.expire(now_ms):
+            _give(waiter.item[1], None)
+        line.serve(now_ms, self._place_waiter)
+
+    def _place_waiter(self, waiter: Waiter[_Waiting]) -> bool:
+        exchange, future = waiter.item
+        send = self._place(exchange)
+        if send is None:
+            return False
+        _give(future, send)
+        return True
+
+    def _place(self, exchange: Exchange) -> Send | None:
+        now_ms = self._clock.now_ms()
         request = PlacementRequest(
             exchange.service,
             exchange.object_key,
+            exchange.route.sticky,
             exchange.route.aim_ms,
             exchange.allowed_regions,
             frozenset(exchange.excluded),
-            self._services.find_typical_ms(exchange.route),
+            self._services.find_durations(exchange.route),
         )
         for placement in self._services.placer.choose(request, now_ms):
             if self._services.may_send(placement.state, now_ms):
-                return placement
-        usable = self._beliefs.book.list_usable(exchange.service)
-        reason = RefusalReason.NO_ROOM if usable else RefusalReason.NO_TARGET
-        return _refuse(exchange, reason, Step.PLACE, f"{len(usable)} targets")
+                return self._services.open_send(placement.state)
+        return None
 
-    async def _send(
-        self, exchange: Exchange, placement: Placement, timeout_ms: int
-    ) -> Answered | SendFailure:
-        state = placement.state
+    async def _send(self, exchange: Exchange, send: Send) -> Answered | SendFailure:
+        target = send.state.target
+        timeout_ms = max(1, exchange.deadline_ms - self._clock.now_ms())
         outgoing = exchange.outgoing
-        outgoing.headers[TARGET_HEADER] = state.target.id
+        outgoing.headers[TARGET_HEADER] = target.id
         outgoing.headers[DEADLINE_HEADER] = str(timeout_ms)
         exchange.attempts.note_send()
-        number = self._services.open_send(state)
-        sent_ms = self._clock.now_ms()
         try:
-            result = await self._upstream.send(state.target, outgoing, timeout_ms)
+            result = await self._upstream.send(target, outgoing, timeout_ms)
         finally:
-            self._services.close_send(state, number)
-        elapsed_ms = self._clock.now_ms() - sent_ms
-        self._services.note_result(
-            exchange.route, exchange.object_key, placement, result, elapsed_ms
-        )
+            self._services.close_send(send)
+            self._serve_line(exchange.service)
+        self._services.note_result(exchange.route, exchange.object_key, send, result)
         return result
 
     def _judge(
@@ -153,6 +211,11 @@
     return _rng.randint(*_RETURN_MS)
 
 
+def _give(future: asyncio.Future[Send | None], send: Send | None) -> None:
+    if not future.done():
+        future.set_result(send)
+
+
 def _settle(exchange: Exchange, refusal: Refusal) -> Answered | Refusal:
     """Prefer a target's own failure to a refusal after it."""
     return exchange.failed_answer or refusal
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -71,9 +71,9 @@
             settings.name, locality, settings.bounds, self._beliefs, self._fleet, clock
         )
         regions = frozenset(settings.regions.values())
-        dispatcher = Dispatcher(self._beliefs, services, self._upstream, clock, metrics)
+        self._dispatcher = Dispatcher(self._beliefs, services, self._upstream, clock, metrics)
         self._requests = RequestPath(
-            self._beliefs, services, dispatcher, self._demand, clock, metrics, regions
+            self._beliefs, services, self._dispatcher, self._demand, clock, metrics, regions
         )
         self._doors = Doors(
             self._link, self._fleet, clock, metrics, logs, settings.bounds.max_ttl_ms
@@ -102,6 +102,7 @@
             asyncio.create_task(feed.register()),
             asyncio.create_task(self._link.run()),
             asyncio.create_task(self._tick()),
+            asyncio.create_task(self._dispatcher.run()),
             asyncio.create_task(self._seed()),
         ]
         stopped = asyncio.create_task(self._stopped.wait())
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -28,7 +28,12 @@
 from waxwingshelf.steering.config import OrganisationRule, RouteRule, SteeringConfig
 from waxwingshelf.steering.limits import RateBucket
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
-from waxwingshelf.steering.routes import choose_service, find_allowed_regions, find_route
+from waxwingshelf.steering.routes import (
+    choose_service,
+    find_allowed_regions,
+    find_priority,
+    find_route,
+)
 
 __all__ = ["RequestPath"]
 
@@ -148,6 +153,8 @@
             route=route,
             service=choose_service(route, request_id),
             object_key=object_key,
+            priority=find_priority(route, organisation),
+            aim_at_ms=started_ms + route.aim_ms,
             deadline_ms=started_ms + wait_ms,
             allowed_regions=find_allowed_regions(route, organisation, self._regions),
             outgoing=OutgoingRequest(request.method, request.raw_path, headers, None, request_id),
--- a/src/waxwingshelf/serving/services.py
+++ b/src/waxwingshelf/serving/services.py
@@ -3,21 +3,30 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import dataclass
 
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.platform.settings import Bounds
 from waxwingshelf.serving.beliefs import Beliefs
 from waxwingshelf.serving.upstream import Answered, FailureKind, SendFailure
 from waxwingshelf.steering.config import RouteRule
+from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdAllotment, RetryBudget
-from waxwingshelf.steering.placement import Locality, Placement, Placer
+from waxwingshelf.steering.placement import Locality, Placer
 from waxwingshelf.steering.targets import TargetState
 
-__all__ = ["Services"]
+__all__ = ["Send", "Services"]
 
-_TYPICAL_WEIGHT = 0.1
-_FIRST_TYPICAL_PART = 0.5
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """One request at a target; `found_slot` tells that it probably did not wait there."""
+
+    state: TargetState
+    number: int
+    sent_ms: int
+    found_slot: bool
 
 
 class Services:
@@ -38,7 +47,7 @@
         self._clock = clock
         self._cold = ColdAllotment(name)
         self._retries: dict[str, RetryBudget] = {}
-        self._typical: dict[str, float] = {}
+        self._durations: dict[str, RouteDurations] = {}
         self._numbers = itertools.count()
         self.placer = Placer(locality, beliefs.book)
 
@@ -50,9 +59,12 @@
         """Take one repeat from the service's budget."""
         return self._find_retries(service).take()
 
-    def find_typical_ms(self, route: RouteRule) -> float:
-        """Return the time that a request of the route takes where its object is warm."""
-        return self._typical.get(route.name, route.aim_ms * _FIRST_TYPICAL_PART)
+    def find_durations(self, route: RouteRule) -> RouteDurations:
+        """Return the typical times of a route's requests."""
+        durations = self._durations.get(route.name)
+        if durations is None or durations.aim_ms != route.aim_ms:
+            durations = self._durations[route.name] = RouteDurations(route.aim_ms)
+        return durations
 
     def may_send(self, state: TargetState, now_ms: int) -> bool:
         """Tell whether the target may get a request now; a cold one's allotment is used up."""
@@ -65,32 +77,33 @@
         bound = rule.cold_per_s * self._bounds.cold_overage + self._bounds.cold_slack
         return self._cold.take(state.target.id, bound, self._fleet.list_names(), now_ms)
 
-    def open_send(self, state: TargetState) -> int:
-        """Count a request at the target and return its number."""
-        number = next(self._numbers)
-        state.in_flight[number] = self._clock.now_ms()
-        return number
+    def open_send(self, state: TargetState) -> Send:
+        """Count a request at the target from now on."""
+        now_ms = self._clock.now_ms()
+        found_slot = state.estimate_load(now_ms) < state.target.slots
+        send = Send(state, next(self._numbers), now_ms, found_slot)
+        state.in_flight[send.number] = now_ms
+        return send
 
-    def close_send(self, state: TargetState, number: int) -> None:
+    def close_send(self, send: Send) -> None:
         """End the count of a request."""
-        state.in_flight.pop(number, None)
+        send.state.in_flight.pop(send.number, None)
 
     def note_result(
         self,
         route: RouteRule,
         object_key: str,
-        placement: Placement,
+        send: Send,
         result: Answered | SendFailure,
-        elapsed_ms: int,
     ) -> None:
         """Learn from how a request ended."""
         now_ms = self._clock.now_ms()
-        state = placement.state
+        state = send.state
         if result.load is not None:
             state.note_load(result.load, now_ms)
         if isinstance(result, Answered):
             state.note_outcome(result.status >= 500, now_ms)
-            self._note_duration(route, object_key, state, elapsed_ms, now_ms)
+            self._note_duration(route, object_key, send, now_ms - send.sent_ms, now_ms)
             state.note_warm(object_key, now_ms)
             return
         if result.kind is FailureKind.WRONG_TARGET:
@@ -100,15 +113,15 @@
         state.note_outcome(True, now_ms)
 
     def _note_duration(
-        self, route: RouteRule, object_key: str, state: TargetState, elapsed_ms: int, now_ms: int
+        self, route: RouteRule, object_key: str, send: Send, elapsed_ms: int, now_ms: int
     ) -> None:
-        if not state.is_warm_for(object_key, now_ms):
+        if not send.found_slot:
             return
-        typical_ms = self.find_typical_ms(route)
-        state.note_duration(elapsed_ms / typical_ms, now_ms)
-        # One slow target must not make slow times look typical.
-        bounded_ms = min(float(elapsed_ms), 2.0 * typical_ms)
-        self._typical[route.name] = typical_ms + _TYPICAL_WEIGHT * (bounded_ms - typical_ms)
+        durations = self.find_durations(route)
+        warm = send.state.is_warm_for(object_key, now_ms)
+        if warm:
+            send.state.note_duration(elapsed_ms / durations.warm_ms, now_ms)
+        durations.note(elapsed_ms, warm)
 
     def _find_retries(self, service: str) -> RetryBudget:
         budget = self._retries.get(service)
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -93,11 +93,13 @@
 
     _starting = False
     _ended_early = False
+    _connection_end: asyncio.Future[None] | None = None
 
     async def start(self, connection: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Read heads until one belongs to the request."""
         expected = self.request_info.headers.get(REQUEST_ID_HEADER)
         self._starting = True
+        protocol = connection.protocol
         while True:
             self._ended_early = False
             await super().start(connection)
@@ -106,10 +108,21 @@
                 break
             await self.content.read()
         self._starting = False
+        if self._is_unframed():
+            self._connection_end = protocol.closed if protocol else None
         if self._ended_early:
             self._response_eof()
         return self
 
+    def was_reset(self) -> bool:
+        """Tell whether the connection that ends the body was reset instead of closed."""
+        end = self._connection_end
+        return end is not None and end.done() and end.exception() is not None
+
+    def _is_unframed(self) -> bool:
+        chunked = "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+        return "Content-Length" not in self.headers and not chunked
+
     def _response_eof(self) -> None:
         if self._starting:
             self._ended_early = True
@@ -141,6 +154,8 @@
                     skip_auto_headers=_SKIPPED_HEADERS,
                 ) as response:
                     body = await response.read()
+                    if isinstance(response, MatchedResponse) and response.was_reset():
+                        return SendFailure(FailureKind.BROKEN, target.id, "reset in the body")
         except aiohttp.ClientConnectorError as error:
             return SendFailure(FailureKind.NOT_CONNECTED, target.id, str(error))
         except TimeoutError:
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from waxwingshelf.core.hashing import hash_unit
+from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.targets import TargetBook, TargetState
 
 __all__ = ["Locality", "Placement", "PlacementRequest", "Placer"]
@@ -24,7 +25,10 @@
 # A failed attempt costs the caller about this many aims: the retry and its cold run.
 _FAILURE_COST = 4.0
 _CROSS_REGION_COST_MS = 40.0
-_QUEUE_PER_SLOT = 2.0
+# An object stays with so many targets at most, or all of them would forget all objects in turn.
+_TARGETS_PER_OBJECT = 3
+# Requests at a target beyond its slots, as a part of them: enough that no slot ever idles.
+_QUEUE_PART = 0.34
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +50,11 @@
 
     service: str
     object_key: str
+    sticky: bool
     aim_ms: int
     allowed_regions: frozenset[str]
     excluded: frozenset[str]
-    typical_ms: float
+    durations: RouteDurations
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,14 +78,17 @@
     def choose(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
         """Return the targets with room in order of preference, empty when there is none."""
         options = []
-        for rank, state in enumerate(self._rank(request.service, request.object_key)):
+        rank = 0
+        for state in self._rank(request.service, request.object_key):
             if self._is_closed(state, request, now_ms):
                 continue
             load = state.estimate_load(now_ms)
-            if load >= state.target.slots * (1.0 + _QUEUE_PER_SLOT):
-                continue
-            expected_ms = self._estimate(state, rank, load, request, now_ms)
-            options.append(Placement(state, rank, expected_ms))
+            if load < state.target.slots * (1.0 + _QUEUE_PART):
+                expected_ms = self._estimate(state, rank, load, request, now_ms)
+                options.append(Placement(state, rank, expected_ms))
+            rank += 1
+            if request.sticky and rank >= _TARGETS_PER_OBJECT:
+                break
         options.sort(key=_get_expected)
         return options
 
@@ -95,12 +103,12 @@
     def _estimate(
         self, state: TargetState, rank: int, load: int, request: PlacementRequest, now_ms: int
     ) -> float:
-        slowness = state.find_slowness(now_ms, request.typical_ms)
-        work_ms = request.typical_ms * slowness
+        durations = request.durations
+        slowness = state.find_slowness(now_ms, durations.warm_ms)
         waiting = max(0, load + 1 - state.target.slots)
-        expected_ms = work_ms + waiting / state.target.slots * work_ms
+        expected_ms = durations.warm_ms * slowness * (1.0 + waiting / state.target.slots)
         if rank > 0 and not state.is_warm_for(request.object_key, now_ms):
-            expected_ms += request.aim_ms
+            expected_ms += durations.cold_ms - durations.warm_ms
         if self._locality.find_region(state.target.failure_domain) != self._locality.region:
             expected_ms += _CROSS_REGION_COST_MS
         expected_ms += state.find_failure_rate(now_ms) * request.aim_ms * _FAILURE_COST
--- a/src/waxwingshelf/steering/routes.py
+++ b/src/waxwingshelf/steering/routes.py
@@ -7,7 +7,13 @@
 from waxwingshelf.core.hashing import hash_unit
 from waxwingshelf.steering.config import OrganisationRule, RouteRule, SteeringConfig
 
-__all__ = ["choose_service", "find_allowed_regions", "find_route", "normalise_host"]
+__all__ = [
+    "choose_service",
+    "find_allowed_regions",
+    "find_priority",
+    "find_route",
+    "normalise_host",
+]
 
 _NO_REGION = frozenset({"(none)"})
 
@@ -54,6 +60,13 @@
     return regions.intersection(*named) or _NO_REGION
 
 
+def find_priority(route: RouteRule, organisation: OrganisationRule | None) -> int:
+    """Return the rank of a request, 0 being the highest; the organisation's goes first."""
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
 def _list_prefixes(path: str) -> Iterator[str]:
     end = path.rfind("/")
     while end >= 0:
