Take a body that ends with its connection as cut unless it was closed

Ruled out: truncated framed answers (aiohttp reports them); crossed answers (same request id). Change: the connection's end is watched from before the head is read; unknown counts as reset.

--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -99,7 +99,8 @@
         """Read heads until one belongs to the request."""
         expected = self.request_info.headers.get(REQUEST_ID_HEADER)
         self._starting = True
-        protocol = connection.protocol
+        # Taken before the head arrives: with the body may come the end of the connection.
+        self._connection_end = _watch_end(connection)
         while True:
             self._ended_early = False
             await super().start(connection)
@@ -108,16 +109,16 @@
                 break
             await self.content.read()
         self._starting = False
-        if self._is_unframed():
-            self._connection_end = protocol.closed if protocol else None
         if self._ended_early:
             self._response_eof()
         return self
 
     def was_reset(self) -> bool:
-        """Tell whether the connection that ends the body was reset instead of closed."""
+        """Tell whether a body that ends with its connection was cut by a reset."""
+        if not self._is_unframed():
+            return False
         end = self._connection_end
-        return end is not None and end.done() and end.exception() is not None
+        return end is None or (end.done() and end.exception() is not None)
 
     def _is_unframed(self) -> bool:
         chunked = "chunked" in self.headers.get("Transfer-Encoding", "").lower()
@@ -130,6 +131,20 @@
         super()._response_eof()
 
 
+def _watch_end(connection: aiohttp.connector.Connection) -> asyncio.Future[None] | None:
+    protocol = connection.protocol
+    end = protocol.closed if protocol is not None else None
+    if end is not None:
+        # Most ends interest nobody; retrieving the error keeps asyncio from reporting it.
+        end.add_done_callback(_retrieve_error)
+    return end
+
+
+def _retrieve_error(end: asyncio.Future[None]) -> None:
+    if not end.cancelled():
+        end.exception()
+
+
 class UpstreamClient:
     """Own the connections to targets."""
 
