Tell peers what is in flight, and run objects cold only in slots that idle

Cause: two things held targets in overload. And a request whose first target was full took the next with room, cold; with homes in a region of two targets both lost all warm objects (936 ms at the target instead of 270). Ruled out: too few slots (other targets stood at 0.4 of their slots); slow targets. Change: load beats ten times a second; slowness from all answers against the time usual at that load; home weighs by its part of the slots; a cold run needs a target below 0.7 of its slots and costs less than the wait; the answered line shows rank, load and wait.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -43,13 +43,14 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """One request on its way; `aim_at_ms` and `deadline_ms` are clock readings."""
+    """One request on its way; `ready_ms` and the like are clock readings."""
 
     id: str
     route: RouteRule
     service: str
     object_key: str
     priority: int
+    ready_ms: int
     aim_at_ms: int
     deadline_ms: int
     allowed_regions: frozenset[str]
@@ -58,6 +59,7 @@
     excluded: set[str] = field(default_factory=set)
     failed_answer: Answered | None = None
     peer: str = ""
+    send: Send | None = None
 
 
 _Waiting = tuple[Exchange, "asyncio.Future[Send | None]"]
@@ -103,6 +105,7 @@
 
     async def _find_room(self, exchange: Exchange) -> Send | Refusal:
         line = self._lines.setdefault(exchange.service, WaitingLine())
+        exchange.ready_ms = self._clock.now_ms()
         if not line:
             send = self._place(exchange)
             if send is not None:
@@ -159,10 +162,11 @@
             exchange.allowed_regions,
             frozenset(exchange.excluded),
             self._services.find_durations(exchange.route),
+            now_ms - exchange.ready_ms,
         )
         for placement in self._services.placer.choose(request, now_ms):
             if self._services.may_send(placement.state, now_ms):
-                return self._services.open_send(placement.state)
+                return self._services.open_send(placement)
         return None
 
     async def _send(self, exchange: Exchange, send: Send) -> Answered | SendFailure:
@@ -172,6 +176,7 @@
         outgoing.headers[TARGET_HEADER] = target.id
         outgoing.headers[DEADLINE_HEADER] = str(timeout_ms)
         exchange.attempts.note_send()
+        exchange.send = send
         try:
             result = await self._upstream.send(target, outgoing, timeout_ms)
         finally:
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -101,6 +101,7 @@
             asyncio.create_task(feed.follow()),
             asyncio.create_task(feed.register()),
             asyncio.create_task(self._link.run()),
+            asyncio.create_task(self._link.run_loads()),
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._dispatcher.run()),
             asyncio.create_task(self._seed()),
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -21,13 +21,15 @@
 from waxwingshelf.serving.demand import Demand
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.sockets import build_session
-from waxwingshelf.steering.fleet import Beat, Fleet, Peer, PeerAddress
+from waxwingshelf.steering.fleet import Beat, Fleet, LoadBeat, Peer, PeerAddress
 from waxwingshelf.steering.mirror import Change
 
 __all__ = ["STATE_PATH", "PeerLink"]
 
 STATE_PATH = "/waxwingshelf/state"
 _BEAT_S = 0.25
+# Work at a target lasts some tenths of a second; what is in flight is told more often than that.
+_LOAD_S = 0.1
 _BEATS_EACH = 16
 _PULL_TIMEOUT_S = 1.0
 # The store's own watch is nearly always faster than this.
@@ -45,6 +47,10 @@
 
 
 _BEAT_DECODER = msgspec.msgpack.Decoder(Beat)
+_LOAD_DECODER = msgspec.msgpack.Decoder(LoadBeat)
+# The first byte of a datagram tells the two kinds apart.
+_BEAT_MARK = b"b"
+_LOAD_MARK = b"l"
 
 
 class _BeatProtocol(asyncio.DatagramProtocol):
@@ -52,7 +58,7 @@
         self._link = link
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._link.take_beat(data)
+        self._link.take_datagram(data)
 
     def error_received(self, exc: Exception) -> None:
         # An unreachable peer shows by its silence.
@@ -80,6 +86,7 @@
         self._rng = random.Random(settings.name)
         self._boot = time.time_ns()
         self._number = 0
+        self._load_number = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._session: aiohttp.ClientSession | None = None
         self._behind_since_ms: int | None = None
@@ -124,8 +131,6 @@
 
     def send_beats(self) -> None:
         """Send one heartbeat to every peer, or to some of them in a large fleet."""
-        if self._transport is None:
-            return
         config = self._beliefs.config
         self._number += 1
         beat = Beat(
@@ -137,21 +142,41 @@
             config.version if config else 0,
             self._demand.list_rates(),
         )
-        data = msgspec.msgpack.encode(beat)
-        peers = self._fleet.list_peers()
-        if len(peers) > _BEATS_EACH:
-            peers = self._rng.sample(peers, _BEATS_EACH)
-        for peer in peers:
-            self._transport.sendto(data, (peer.address.host, peer.address.beat_port))
+        self._send_all(_BEAT_MARK + msgspec.msgpack.encode(beat))
 
-    def take_beat(self, data: bytes) -> None:
-        """Take in a heartbeat."""
+    async def run_loads(self) -> None:
+        """Tell the peers what is in flight here, for ever."""
+        while True:
+            await asyncio.sleep(_LOAD_S * self._rng.uniform(0.9, 1.1))
+            self._load_number += 1
+            loads = self._beliefs.book.list_loads()
+            beat = LoadBeat(self.address.name, self._boot, self._load_number, loads)
+            self._send_all(_LOAD_MARK + msgspec.msgpack.encode(beat))
+
+    def take_datagram(self, data: bytes) -> None:
+        """Take in a heartbeat or a load beat."""
         try:
-            beat = _BEAT_DECODER.decode(data)
+            if data[:1] == _LOAD_MARK:
+                self._take_loads(_LOAD_DECODER.decode(memoryview(data)[1:]))
+            else:
+                beat = _BEAT_DECODER.decode(memoryview(data)[1:])
+                self._fleet.note_beat(beat, self._clock.now_ms())
         except msgspec.DecodeError as error:
             _log.warning("beat_rejected", detail=str(error))
+
+    def _take_loads(self, beat: LoadBeat) -> None:
+        if self._fleet.note_load_beat(beat):
+            now_ms = self._clock.now_ms()
+            self._beliefs.book.note_peer_loads(beat.name, beat.loads, now_ms)
+
+    def _send_all(self, data: bytes) -> None:
+        if self._transport is None:
             return
-        self._fleet.note_beat(beat, self._clock.now_ms())
+        peers = self._fleet.list_peers()
+        if len(peers) > _BEATS_EACH:
+            peers = self._rng.sample(peers, _BEATS_EACH)
+        for peer in peers:
+            self._transport.sendto(data, (peer.address.host, peer.address.beat_port))
 
     async def serve_state(self, request: web.BaseRequest) -> web.Response:
         """Answer a peer with the changes after its revision."""
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -84,7 +84,7 @@
             self.in_flight -= 1
         if isinstance(result, Refusal):
             return self._answer_refusal(result, request_id, started_ms)
-        return self._answer_whole(result, request_id, started_ms)
+        return self._answer_whole(result, started_ms)
 
     async def _serve(
         self, request: web.BaseRequest, request_id: str, started_ms: int
@@ -111,6 +111,8 @@
             return Refusal(RefusalReason.BODY_TOO_LARGE, Step.READ)
         exchange.attempts.repeatable = exchange.outgoing.repeatable
         result = await self._dispatcher.dispatch(exchange)
+        if isinstance(result, Answered):
+            _log_answer(exchange, result, started_ms, self._clock.now_ms())
         if bucket is not None and isinstance(result, Refusal) and not result.maybe_run:
             bucket.put_back()
         return result
@@ -154,6 +156,7 @@
             service=choose_service(route, request_id),
             object_key=object_key,
             priority=find_priority(route, organisation),
+            ready_ms=started_ms,
             aim_at_ms=started_ms + route.aim_ms,
             deadline_ms=started_ms + wait_ms,
             allowed_regions=find_allowed_regions(route, organisation, self._regions),
@@ -161,19 +164,10 @@
             attempts=Attempts(route.idempotent, route.attempts),
         )
 
-    def _answer_whole(
-        self, answer: Answered, request_id: str, started_ms: int
-    ) -> web.StreamResponse:
+    def _answer_whole(self, answer: Answered, started_ms: int) -> web.StreamResponse:
         elapsed_ms = self._clock.now_ms() - started_ms
         self._metrics.requests.labels("target", str(answer.status)).inc()
         self._metrics.durations.labels("target").observe(elapsed_ms / _MS_PER_S)
-        _log.info(
-            "answered",
-            request=request_id,
-            target=answer.target,
-            status=answer.status,
-            elapsed_ms=elapsed_ms,
-        )
         response = web.Response(
             status=answer.status,
             headers=copy_answer_headers(answer.headers),
@@ -210,6 +204,26 @@
         return response
 
 
+def _log_answer(exchange: Exchange, answer: Answered, started_ms: int, now_ms: int) -> None:
+    send = exchange.send
+    if send is None:
+        return
+    _log.info(
+        "answered",
+        request=exchange.id,
+        route=exchange.route.name,
+        target=answer.target,
+        status=answer.status,
+        sends=exchange.attempts.sends,
+        waited_ms=send.sent_ms - started_ms,
+        rank=send.placement.rank,
+        load=send.placement.load,
+        slots=send.state.target.slots,
+        cost_ms=int(send.placement.cost_ms),
+        elapsed_ms=now_ms - started_ms,
+    )
+
+
 def _authenticate(
     request: web.BaseRequest, config: SteeringConfig, route: RouteRule
 ) -> OrganisationRule | Refusal | None:
--- a/src/waxwingshelf/serving/services.py
+++ b/src/waxwingshelf/serving/services.py
@@ -13,7 +13,7 @@
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdAllotment, RetryBudget
-from waxwingshelf.steering.placement import Locality, Placer
+from waxwingshelf.steering.placement import Locality, Placement, Placer
 from waxwingshelf.steering.targets import TargetState
 
 __all__ = ["Send", "Services"]
@@ -21,12 +21,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """One request at a target; `found_slot` tells that it probably did not wait there."""
+    """One request at a target, with what it was placed on."""
 
-    state: TargetState
+    placement: Placement
     number: int
     sent_ms: int
-    found_slot: bool
+
+    @property
+    def state(self) -> TargetState:
+        """Return the target."""
+        return self.placement.state
 
 
 class Services:
@@ -77,12 +81,10 @@
         bound = rule.cold_per_s * self._bounds.cold_overage + self._bounds.cold_slack
         return self._cold.take(state.target.id, bound, self._fleet.list_names(), now_ms)
 
-    def open_send(self, state: TargetState) -> Send:
+    def open_send(self, placement: Placement) -> Send:
         """Count a request at the target from now on."""
-        now_ms = self._clock.now_ms()
-        found_slot = state.estimate_load(now_ms) < state.target.slots
-        send = Send(state, next(self._numbers), now_ms, found_slot)
-        state.in_flight[send.number] = now_ms
+        send = Send(placement, next(self._numbers), self._clock.now_ms())
+        send.state.in_flight[send.number] = send.sent_ms
         return send
 
     def close_send(self, send: Send) -> None:
@@ -103,7 +105,7 @@
             state.note_load(result.load, now_ms)
         if isinstance(result, Answered):
             state.note_outcome(result.status >= 500, now_ms)
-            self._note_duration(route, object_key, send, now_ms - send.sent_ms, now_ms)
+            self._note_duration(route, send, now_ms - send.sent_ms, now_ms)
             state.note_warm(object_key, now_ms)
             return
         if result.kind is FailureKind.WRONG_TARGET:
@@ -112,16 +114,11 @@
             state.suspend(now_ms)
         state.note_outcome(True, now_ms)
 
-    def _note_duration(
-        self, route: RouteRule, object_key: str, send: Send, elapsed_ms: int, now_ms: int
-    ) -> None:
-        if not send.found_slot:
-            return
-        durations = self.find_durations(route)
-        warm = send.state.is_warm_for(object_key, now_ms)
-        if warm:
-            send.state.note_duration(elapsed_ms / durations.warm_ms, now_ms)
-        durations.note(elapsed_ms, warm)
+    def _note_duration(self, route: RouteRule, send: Send, elapsed_ms: int, now_ms: int) -> None:
+        placement = send.placement
+        send.state.note_duration(elapsed_ms / placement.usual_ms, now_ms)
+        if placement.load < send.state.target.slots:
+            self.find_durations(route).note(elapsed_ms, placement.warm)
 
     def _find_retries(self, service: str) -> RetryBudget:
         budget = self._retries.get(service)
--- a/src/waxwingshelf/steering/durations.py
+++ b/src/waxwingshelf/steering/durations.py
@@ -14,7 +14,7 @@
 _WEIGHT = 0.1
 _FIRST_WARM_PART = 0.45
 _FIRST_COLD_PART = 1.45
-# A single answer moves an estimate by no more than this factor of it counts for.
+# An answer counts as at most this many times the average, and at least that part of it.
 _MOST_RATIO = 2.0
 
 
@@ -40,5 +40,5 @@
 
 
 def _move(average_ms: float, elapsed_ms: int) -> float:
-    bounded_ms = min(float(elapsed_ms), _MOST_RATIO * average_ms)
+    bounded_ms = min(max(float(elapsed_ms), average_ms / _MOST_RATIO), _MOST_RATIO * average_ms)
     return average_ms + _WEIGHT * (bounded_ms - average_ms)
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Beat", "Fleet", "Peer", "PeerAddress"]
+__all__ = ["Beat", "Fleet", "LoadBeat", "Peer", "PeerAddress"]
 
 _SILENT_AFTER_MS = 1_200
 _FORGET_DEMAND_AFTER_MS = 3_000
@@ -45,6 +45,16 @@
     demand: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class LoadBeat:
+    """The requests that an instance has in flight, by the targets' tokens."""
+
+    name: str
+    boot: int
+    number: int
+    loads: dict[int, int]
+
+
 @dataclass(slots=True)
 class Peer:
     """What is known of one other instance."""
@@ -52,6 +62,7 @@
     address: PeerAddress
     boot: int = 0
     number: int = -1
+    load_number: int = -1
     ready: bool = False
     revision: int = 0
     config_version: int = 0
@@ -78,6 +89,8 @@
         peer = self._peers.setdefault(name, Peer(beat.address))
         if (beat.boot, beat.number) <= (peer.boot, peer.number):
             return False
+        if beat.boot != peer.boot:
+            peer.load_number = -1
         peer.address = beat.address
         peer.boot, peer.number = beat.boot, beat.number
         peer.ready, peer.revision = beat.ready, beat.revision
@@ -85,6 +98,16 @@
         peer.heard_ms = now_ms
         return True
 
+    def note_load_beat(self, beat: LoadBeat) -> bool:
+        """Tell whether a load beat of a known peer is news."""
+        peer = self._peers.get(beat.name)
+        if peer is None or (beat.boot, beat.number) <= (peer.boot, peer.load_number):
+            return False
+        if beat.boot != peer.boot:
+            return False
+        peer.load_number = beat.number
+        return True
+
     def note_registered(self, address: PeerAddress) -> None:
         """Take in an instance that the store names."""
         if address.name == self._name:
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -18,8 +18,10 @@
 
 __all__ = ["Locality", "Placement", "PlacementRequest", "Placer"]
 
-# Home weighs more for the bytes between places, yet not so much that a small region is overrun.
-_SAME_REGION_WEIGHT = 4.0
+# The part of a region's requests that stay there when it has slots enough.
+_MOST_AT_HOME = 0.85
+# Regions are taken to ask alike; home gets this part of the slots that its demand could fill.
+_HOME_FILL = 0.8
 _SAME_DOMAIN_WEIGHT = 1.5
 _CACHED_RANKINGS = 4_096
 # A failed attempt costs the caller about this many aims: the retry and its cold run.
@@ -29,6 +31,8 @@
 _TARGETS_PER_OBJECT = 3
 # Requests at a target beyond its slots, as a part of them: enough that no slot ever idles.
 _QUEUE_PART = 0.34
+# Above this load a target has no slots to spare for objects that are not its own.
+_COLD_FILL = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,15 +59,23 @@
     allowed_regions: frozenset[str]
     excluded: frozenset[str]
     durations: RouteDurations
+    waited_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The chosen target, its rank for the object and the time expected there."""
+    """A target for a request, and what speaks for it.
+
+    `rank` is the target's for the object, `load` the requests there, `usual_ms` the time that any
+    target of the service would take with that load, `cost_ms` the time to be feared at this one.
+    """
 
     state: TargetState
     rank: int
-    expected_ms: float
+    load: int
+    warm: bool
+    usual_ms: float
+    cost_ms: float
 
 
 class Placer:
@@ -76,21 +88,30 @@
         self._cache_version = -1
 
     def choose(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
-        """Return the targets with room in order of preference, empty when there is none."""
-        options = []
-        rank = 0
+        """Return the targets to send to now, the best first; none when it is better to wait."""
+        candidates = self._list_candidates(request, now_ms)
+        if not candidates:
+            return []
+        first = candidates[0]
+        # Having waited so long for its first target, a request expects to wait as long again.
+        most_cost_ms = first.cost_ms + request.waited_ms
+        options = [
+            option
+            for option in candidates
+            if _has_room(option) and (option is first or option.cost_ms <= most_cost_ms)
+        ]
+        options.sort(key=_get_cost)
+        return options
+
+    def _list_candidates(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
+        candidates: list[Placement] = []
         for state in self._rank(request.service, request.object_key):
             if self._is_closed(state, request, now_ms):
                 continue
-            load = state.estimate_load(now_ms)
-            if load < state.target.slots * (1.0 + _QUEUE_PART):
-                expected_ms = self._estimate(state, rank, load, request, now_ms)
-                options.append(Placement(state, rank, expected_ms))
-            rank += 1
-            if request.sticky and rank >= _TARGETS_PER_OBJECT:
+            candidates.append(self._estimate(state, len(candidates), request, now_ms))
+            if request.sticky and len(candidates) >= _TARGETS_PER_OBJECT:
                 break
-        options.sort(key=_get_expected)
-        return options
+        return candidates
 
     def _is_closed(self, state: TargetState, request: PlacementRequest, now_ms: int) -> bool:
         target = state.target
@@ -101,19 +122,20 @@
         return self._locality.find_region(target.failure_domain) not in request.allowed_regions
 
     def _estimate(
-        self, state: TargetState, rank: int, load: int, request: PlacementRequest, now_ms: int
-    ) -> float:
+        self, state: TargetState, rank: int, request: PlacementRequest, now_ms: int
+    ) -> Placement:
         durations = request.durations
-        slowness = state.find_slowness(now_ms, durations.warm_ms)
+        load = state.estimate_load(now_ms)
         waiting = max(0, load + 1 - state.target.slots)
-        expected_ms = durations.warm_ms * slowness * (1.0 + waiting / state.target.slots)
-        if rank > 0 and not state.is_warm_for(request.object_key, now_ms):
-            expected_ms += durations.cold_ms - durations.warm_ms
-        if self._locality.find_region(state.target.failure_domain) != self._locality.region:
-            expected_ms += _CROSS_REGION_COST_MS
-        expected_ms += state.find_failure_rate(now_ms) * request.aim_ms * _FAILURE_COST
-        # Equal estimates keep the order of the ranking.
-        return expected_ms + rank
+        warm = rank == 0 or state.is_warm_for(request.object_key, now_ms)
+        work_ms = durations.warm_ms if warm else durations.cold_ms
+        usual_ms = work_ms * (1.0 + waiting / state.target.slots)
+        cost_ms = usual_ms * state.find_slowness(now_ms, durations.warm_ms)
+        if not self._is_home(state):
+            cost_ms += _CROSS_REGION_COST_MS
+        cost_ms += state.find_failure_rate(now_ms) * request.aim_ms * _FAILURE_COST
+        # Equal costs keep the order of the ranking.
+        return Placement(state, rank, load, warm, usual_ms, cost_ms + rank)
 
     def _rank(self, service: str, object_key: str) -> list[TargetState]:
         if self._cache_version != self._book.version or len(self._cache) > _CACHED_RANKINGS:
@@ -123,19 +145,43 @@
         ranking = self._cache.get(key)
         if ranking is None:
             states = self._book.list_usable(service)
-            ranking = sorted(states, key=lambda state: -self._weigh(state, object_key))
+            home = self._find_home_weight(states)
+            ranking = sorted(states, key=lambda state: -self._weigh(state, object_key, home))
             self._cache[key] = ranking
         return ranking
 
-    def _weigh(self, state: TargetState, object_key: str) -> float:
+    def _find_home_weight(self, states: list[TargetState]) -> float:
+        """Return how much more a target at home weighs than one elsewhere."""
+        home = sum(state.target.slots for state in states if self._is_home(state))
+        total = sum(state.target.slots for state in states)
+        if home == 0 or home == total:
+            return 1.0
+        capacity = home / total
+        regions = len(set(self._locality.regions.values()))
+        stay = min(_MOST_AT_HOME, capacity * regions * _HOME_FILL)
+        return max(1.0, stay * (1.0 - capacity) / (capacity * (1.0 - stay)))
+
+    def _is_home(self, state: TargetState) -> bool:
+        region = self._locality.find_region(state.target.failure_domain)
+        return region == self._locality.region
+
+    def _weigh(self, state: TargetState, object_key: str, home_weight: float) -> float:
         target = state.target
         weight = float(target.slots)
-        if self._locality.find_region(target.failure_domain) == self._locality.region:
-            weight *= _SAME_REGION_WEIGHT
+        if self._is_home(state):
+            weight *= home_weight
         if target.failure_domain == self._locality.failure_domain:
             weight *= _SAME_DOMAIN_WEIGHT
         return -weight / math.log(hash_unit(target.service, object_key, target.id))
 
 
-def _get_expected(placement: Placement) -> float:
-    return placement.expected_ms
+def _has_room(option: Placement) -> bool:
+    """Tell whether the target may get the request; a cold run only uses slots that idle."""
+    slots = option.state.target.slots
+    if option.warm:
+        return option.load < slots * (1.0 + _QUEUE_PART)
+    return option.load < slots * _COLD_FILL
+
+
+def _get_cost(placement: Placement) -> float:
+    return placement.cost_ms
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -2,18 +2,28 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-__all__ = ["Load", "Target", "TargetBook", "TargetState", "is_mass_removal"]
-
-_REPORT_FRESH_MS = 1_500
+__all__ = [
+    "Load",
+    "PeerLoad",
+    "Target",
+    "TargetBook",
+    "TargetState",
+    "is_mass_removal",
+    "make_token",
+]
+
+_REPORT_FRESH_MS = 300
+_PEER_LOAD_FRESH_MS = 600
 _FAILURE_HALF_LIFE_MS = 3_000
 _SLOWNESS_HALF_LIFE_MS = 4_000
 _OUTCOME_WEIGHT = 0.25
 _SUSPEND_MS = 1_000
 _WARM_OBJECTS = 64
-_WARM_FOR_MS = 30_000
+_WARM_FOR_MS = 8_000
 _MASS_SHARE = 0.34
 
 
@@ -42,6 +52,14 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What another instance has at a target."""
+
+    count: int
+    heard_ms: int
+
+
 @dataclass(slots=True)
 class TargetState:
     """A target with what this instance has seen of it; times are clock readings."""
@@ -57,6 +75,7 @@
     slowness: float = 1.0
     slowness_at_ms: int = 0
     suspended_until_ms: int = 0
+    peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
     warm: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     def is_cold(self, now_ms: int) -> bool:
@@ -64,11 +83,19 @@
         return now_ms < self.cold_until_ms
 
     def estimate_load(self, now_ms: int) -> int:
-        """Return the requests at the target: its last report, moved on by our own since."""
+        """Return the requests at the target: all instances' own, or its last report if higher.
+
+        A report moves on by what this instance sent and got back since.
+        """
         own = len(self.in_flight)
+        peers = sum(
+            load.count
+            for load in self.peer_loads.values()
+            if now_ms - load.heard_ms < _PEER_LOAD_FRESH_MS
+        )
         if now_ms - self.reported_at_ms > _REPORT_FRESH_MS:
-            return own
-        return max(own, self.reported + own - self.in_flight_at_report)
+            return own + peers
+        return max(own + peers, self.reported + own - self.in_flight_at_report)
 
     def find_failure_rate(self, now_ms: int) -> float:
         """Return the share of failed attempts, fading with time."""
@@ -129,6 +156,8 @@
         self._states: dict[str, TargetState] = {}
         self._by_service: dict[str, list[TargetState]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        self._by_token: dict[int, TargetState] = {}
+        self._tokens_by_peer: dict[str, set[int]] = {}
         self.version = 0
 
     def put(self, target: Target, now_ms: int) -> None:
@@ -171,8 +200,27 @@
         """Return the targets that may get new work: neither draining nor evacuated."""
         return self._by_service.get(service, [])
 
+    def list_loads(self) -> dict[int, int]:
+        """Return this instance's requests in flight by the targets' tokens."""
+        return {
+            token: len(state.in_flight)
+            for token, state in self._by_token.items()
+            if state.in_flight
+        }
+
+    def note_peer_loads(self, peer: str, loads: dict[int, int], now_ms: int) -> None:
+        """Replace what another instance has in flight, by the targets' tokens."""
+        for token in self._tokens_by_peer.get(peer, set()) - loads.keys():
+            if (state := self._by_token.get(token)) is not None:
+                state.peer_loads.pop(peer, None)
+        for token, count in loads.items():
+            if (state := self._by_token.get(token)) is not None:
+                state.peer_loads[peer] = PeerLoad(count, now_ms)
+        self._tokens_by_peer[peer] = set(loads)
+
     def _rebuild(self) -> None:
         self.version += 1
+        self._by_token = {make_token(state.target.id): state for state in self._states.values()}
         by_service: dict[str, list[TargetState]] = {}
         for state in self._states.values():
             target = state.target
@@ -181,6 +229,11 @@
         self._by_service = by_service
 
 
+def make_token(target_id: str) -> int:
+    """Return a short number that stands for a target between instances."""
+    return zlib.crc32(target_id.encode())
+
+
 def is_mass_removal(removed: int, known: int) -> bool:
     """Tell whether so many entries went at once that they lapsed rather than left."""
     return removed > 1 and removed > known * _MASS_SHARE
