Reset the connections of abandoned sends, close idle and refused callers' connections

A look at the path showed what could do it: a plain close lets bytes that a link holds up arrive later, and after a stall a request is sent before its caller's close is read. Change: sends that are given up reset their connection; one turn of the loop lies between reading a request and sending it; callers' connections idle for 0.9 of the configured limit and close after a refusal.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -123,7 +123,7 @@
         )
         if not line.add(waiter):
             return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
-        self._serve_line(exchange.service)
+        self._place_line(line, waiter)
         try:
             send = await future
         except asyncio.CancelledError:
@@ -144,6 +144,11 @@
             _give(waiter.item[1], None)
         line.serve(now_ms, self._place_waiter)
 
+    def _place_line(self, line: WaitingLine[_Waiting], waiter: Waiter[_Waiting]) -> None:
+        """Try a request that has just joined the line."""
+        if self._place_waiter(waiter):
+            line.remove(waiter)
+
     def _place_waiter(self, waiter: Waiter[_Waiting]) -> bool:
         exchange, future = waiter.item
         send = self._place(exchange)
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 
+import aiohttp
 import structlog
 from aiohttp import web
 
@@ -23,6 +25,7 @@
 from waxwingshelf.serving.services import Services
 from waxwingshelf.serving.sockets import build_session
 from waxwingshelf.serving.upstream import UpstreamClient
+from waxwingshelf.steering.config import CallerLimits
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.placement import Locality
 
@@ -32,13 +35,18 @@
 _SEED_PERIOD_S = 0.5
 _POLL_S = 0.05
 _STORE_KEEPALIVE_S = 20.0
-_CALLER_KEEPALIVE_S = 60.0
+# Until a configuration tells how long callers may stay idle.
+_CALLER_KEEPALIVE_S = 15.0
+# Callers reuse a connection for up to four fifths of that time.
+_KEEPALIVE_PART = 0.9
 _MOST_HEADER_BYTES = 32_768
 # Callers may use an old answer of the directory for three times its time to live.
 _REFUSE_AFTER_S = 2.9
 _STOP_MARGIN_S = 0.5
 _BACKLOG = 1_024
+_MS_PER_S = 1_000
 _log = structlog.get_logger("instance")
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 async def run_instance(settings: InstanceSettings, logs: LogBuffer) -> None:
@@ -79,6 +87,8 @@
             self._link, self._fleet, clock, metrics, logs, settings.bounds.max_ttl_ms
         )
         self._servers: list[asyncio.Server] = []
+        self._idle_s = _CALLER_KEEPALIVE_S
+        self._callers = _build_server(self._requests.handle, self._idle_s)
 
     def stop(self) -> None:
         """Begin the graceful shutdown."""
@@ -124,27 +134,26 @@
     async def _open(self) -> None:
         await self._link.open()
         settings = self._settings
-        await self._listen(settings.callers, self._requests.handle)
+        # Each connection gets the idle limit in force when it is accepted.
+        await self._listen(settings.callers, lambda: self._callers())
         doors = {settings.readiness, settings.directory, settings.peer_state}
         doors.add(Endpoint(settings.callers.host, settings.peer_ports[0]))
+        server = _build_server(self._doors.handle, _CALLER_KEEPALIVE_S)
         for endpoint in doors:
-            await self._listen(endpoint, self._doors.handle)
-
-    async def _listen(self, endpoint: Endpoint, handler) -> None:  # type: ignore[no-untyped-def]
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=_CALLER_KEEPALIVE_S,
-            max_line_size=_MOST_HEADER_BYTES,
-            max_field_size=_MOST_HEADER_BYTES,
-        )
+            await self._listen(endpoint, server)
+
+    async def _listen(self, endpoint: Endpoint, factory: Callable[[], asyncio.Protocol]) -> None:
         loop = asyncio.get_running_loop()
         self._servers.append(
-            await loop.create_server(server, endpoint.host, endpoint.port, backlog=_BACKLOG)
+            await loop.create_server(factory, endpoint.host, endpoint.port, backlog=_BACKLOG)
         )
 
+    def _follow_limits(self, limits: CallerLimits) -> None:
+        idle_s = limits.idle_timeout_ms / _MS_PER_S * _KEEPALIVE_PART
+        if idle_s != self._idle_s:
+            self._idle_s = idle_s
+            self._callers = _build_server(self._requests.handle, idle_s)
+
     async def _tick(self) -> None:
         while True:
             self._beliefs.expire_held()
@@ -152,6 +161,7 @@
             if self._beliefs.config is not None and not self._stopped.is_set():
                 self._link.ready = True
                 self._metrics.config_version.set(self._beliefs.config.version)
+                self._follow_limits(self._beliefs.config.limits)
             self._metrics.in_flight.set(self._requests.in_flight)
             await asyncio.sleep(_TICK_S)
 
@@ -169,12 +179,12 @@
         self._requests.closing = True
         self._link.send_beats()
         deregistration = asyncio.create_task(feed.deregister())
-        limit_ms = self._settings.bounds.grace_ms - int(_STOP_MARGIN_S * 1_000)
+        limit_ms = self._settings.bounds.grace_ms - int(_STOP_MARGIN_S * _MS_PER_S)
         while True:
             elapsed_ms = self._clock.now_ms() - started_ms
             if elapsed_ms >= limit_ms:
                 break
-            if elapsed_ms >= _REFUSE_AFTER_S * 1_000:
+            if elapsed_ms >= _REFUSE_AFTER_S * _MS_PER_S:
                 self._requests.refusing = True
                 if self._requests.in_flight == 0:
                     break
@@ -184,7 +194,19 @@
         await asyncio.sleep(_POLL_S)
         deregistration.cancel()
 
-    async def _close(self, session) -> None:  # type: ignore[no-untyped-def]
+    async def _close(self, session: aiohttp.ClientSession) -> None:
         await self._upstream.close()
         await self._link.close()
         await session.close()
+
+
+def _build_server(handler: Handler, keepalive_s: float) -> web.Server:
+    return web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        auto_decompress=False,
+        keepalive_timeout=keepalive_s,
+        max_line_size=_MOST_HEADER_BYTES,
+        max_field_size=_MOST_HEADER_BYTES,
+    )
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import structlog
 from aiohttp import web
 
@@ -110,6 +112,8 @@
         except BodyTooLargeError:
             return Refusal(RefusalReason.BODY_TOO_LARGE, Step.READ)
         exchange.attempts.repeatable = exchange.outgoing.repeatable
+        # After a stall a caller's request and its leaving arrive together; see the latter first.
+        await asyncio.sleep(0)
         result = await self._dispatcher.dispatch(exchange)
         if isinstance(result, Answered):
             _log_answer(exchange, result, started_ms, self._clock.now_ms())
@@ -196,7 +200,10 @@
         if refusal.status in _NOT_RUN_STATUSES and refusal.retry_after_ms > 0:
             headers["Retry-After"] = f"{refusal.retry_after_ms / _MS_PER_S:.3f}"
         text = f"{refusal.reason.value}\n"
-        return self._finish(web.Response(status=refusal.status, headers=headers, text=text))
+        response = web.Response(status=refusal.status, headers=headers, text=text)
+        # Callers come back on a new connection; under pressure the old ones would pile up.
+        response.force_close()
+        return response
 
     def _finish(self, response: web.Response) -> web.Response:
         if self.closing:
@@ -212,6 +219,8 @@
         "answered",
         request=exchange.id,
         route=exchange.route.name,
+        object=exchange.object_key.partition("\0")[2],
+        organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
         target=answer.target,
         status=answer.status,
         sends=exchange.attempts.sends,
--- a/src/waxwingshelf/serving/sockets.py
+++ b/src/waxwingshelf/serving/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 
 import aiohttp
 from aiohappyeyeballs import AddrInfoType
@@ -13,6 +14,8 @@
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
+# Linger on, for no time: closing a connection resets it and drops what was not delivered.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def build_session(
@@ -45,6 +48,7 @@
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -85,6 +85,10 @@
         return self.body is None or isinstance(self.body, bytes)
 
 
+class _BodyResetError(Exception):
+    """A body that ends with its connection was cut by a reset."""
+
+
 class MatchedResponse(aiohttp.ClientResponse):
     """A response that passes over answers to other requests on the same connection.
 
@@ -101,17 +105,32 @@
         self._starting = True
         # Taken before the head arrives: with the body may come the end of the connection.
         self._connection_end = _watch_end(connection)
+        try:
+            await self._start_matching(connection, expected)
+        except BaseException:
+            abort(connection)
+            raise
+        self._starting = False
+        if self._ended_early:
+            self._response_eof()
+        return self
+
+    async def _start_matching(
+        self, connection: aiohttp.connector.Connection, expected: str | None
+    ) -> None:
         while True:
             self._ended_early = False
             await super().start(connection)
             echoed = self.headers.get(REQUEST_ID_HEADER)
             if echoed is None or echoed == expected:
-                break
+                return
             await self.content.read()
-        self._starting = False
-        if self._ended_early:
-            self._response_eof()
-        return self
+
+    def give_up(self) -> None:
+        """Reset the connection of an answer that is not read to its end."""
+        if self.connection is not None:
+            abort(self.connection)
+        self.close()
 
     def was_reset(self) -> bool:
         """Tell whether a body that ends with its connection was cut by a reset."""
@@ -131,6 +150,16 @@
         super()._response_eof()
 
 
+def abort(connection: aiohttp.connector.Connection) -> None:
+    """Reset a connection, so that bytes that are still on their way never arrive.
+
+    After a plain close a request that a broken link holds up would run once the link is back,
+    though nobody waits for it any more.
+    """
+    if connection.protocol is not None:
+        connection.protocol.abort()
+
+
 def _watch_end(connection: aiohttp.connector.Connection) -> asyncio.Future[None] | None:
     protocol = connection.protocol
     end = protocol.closed if protocol is not None else None
@@ -168,9 +197,9 @@
                     allow_redirects=False,
                     skip_auto_headers=_SKIPPED_HEADERS,
                 ) as response:
-                    body = await response.read()
-                    if isinstance(response, MatchedResponse) and response.was_reset():
-                        return SendFailure(FailureKind.BROKEN, target.id, "reset in the body")
+                    body = await _read_body(response)
+        except _BodyResetError:
+            return SendFailure(FailureKind.BROKEN, target.id, "reset in the body")
         except aiohttp.ClientConnectorError as error:
             return SendFailure(FailureKind.NOT_CONNECTED, target.id, str(error))
         except TimeoutError:
@@ -185,6 +214,18 @@
             await self._session.close()
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    try:
+        body = await response.read()
+    except BaseException:
+        if isinstance(response, MatchedResponse):
+            response.give_up()
+        raise
+    if isinstance(response, MatchedResponse) and response.was_reset():
+        raise _BodyResetError
+    return body
+
+
 def _judge(
     target: Target, request: OutgoingRequest, response: aiohttp.ClientResponse, body: bytes
 ) -> Answered | SendFailure:
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -65,20 +65,14 @@
         return over
 
     def serve(self, now_ms: int, place: Callable[[Waiter[_T]], bool]) -> None:
-        """Offer room to the requests in order; those that `place` takes leave the line."""
-        for waiter in list(self.list_in_order(now_ms)):
+        """Offer room to all requests in order; those that `place` takes leave the line."""
+        for waiter in self.list_in_order(now_ms):
             if place(waiter):
                 self._waiters.pop(waiter.number, None)
 
-    def list_in_order(self, now_ms: int) -> Iterator[Waiter[_T]]:
-        """Yield the requests in the order in which they are to be sent."""
-        return iter(
-            sorted(
-                self._waiters.values(),
-                key=lambda waiter: (
-                    now_ms >= waiter.late_from_ms,
-                    waiter.priority,
-                    waiter.number,
-                ),
-            )
+    def list_in_order(self, now_ms: int) -> list[Waiter[_T]]:
+        """Return the requests in the order in which they are to be sent."""
+        return sorted(
+            self._waiters.values(),
+            key=lambda waiter: (now_ms >= waiter.late_from_ms, waiter.priority, waiter.number),
         )
