Test the platform's path: decisions one by one, and over sockets with stand-ins

Cause: the new packages had no tests of their own. The instances that may send to a cold target are worked out once for each set of names.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -198,7 +198,7 @@
             version=entry.information.version,
             slots=entry.information.slots,
             draining=entry.status.state == "draining",
-            cold_remaining_ms=int(entry.status.cold_remaining_ms),
+            cold_for_ms=int(entry.status.cold_remaining_ms),
             started_ms=entry.born,
         )
     except ValueError as error:
--- a/src/waxwingshelf/serving/beliefs.py
+++ b/src/waxwingshelf/serving/beliefs.py
@@ -142,7 +142,7 @@
             service=target.service,
             failure_domain=target.failure_domain,
             draining=target.draining,
-            cold_ms=target.cold_remaining_ms,
+            cold_ms=target.cold_for_ms,
             revision=change.revision,
         )
 
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -107,13 +107,13 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._sends: dict[str, deque[int]] = {}
+        self._senders: dict[str, tuple[list[str], bool]] = {}
 
     def take(self, target_id: str, bound_per_s: float, names: list[str], now_ms: int) -> bool:
         """Take one send, given the names of all instances that may be running."""
         senders = max(1, int(bound_per_s / _COLD_SENDS_PER_INSTANCE))
         if len(names) > senders:
-            ranked = sorted(names, key=lambda name: hash_unit(target_id, name), reverse=True)
-            if self._name not in ranked[:senders]:
+            if not self._is_sender(target_id, senders, names):
                 return False
             each = _COLD_SENDS_PER_INSTANCE
         else:
@@ -129,3 +129,13 @@
     def forget(self, target_id: str) -> None:
         """Drop the record of a target that is gone."""
         self._sends.pop(target_id, None)
+        self._senders.pop(target_id, None)
+
+    def _is_sender(self, target_id: str, senders: int, names: list[str]) -> bool:
+        known = self._senders.get(target_id)
+        if known is not None and known[0] == names:
+            return known[1]
+        ranked = sorted(names, key=lambda name: hash_unit(target_id, name), reverse=True)
+        is_sender = self._name in ranked[:senders]
+        self._senders[target_id] = (names, is_sender)
+        return is_sender
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -39,7 +39,7 @@
     version: str
     slots: int
     draining: bool
-    cold_remaining_ms: int
+    cold_for_ms: int
     started_ms: int
 
 
@@ -167,8 +167,8 @@
             state = TargetState(target)
             self._states[target.id] = state
         state.target = target
-        if target.cold_remaining_ms > 0:
-            state.cold_until_ms = max(state.cold_until_ms, now_ms + target.cold_remaining_ms)
+        if target.cold_for_ms > 0:
+            state.cold_until_ms = max(state.cold_until_ms, now_ms + target.cold_for_ms)
         self._rebuild()
 
     def remove(self, target_id: str) -> bool:
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,212 @@
+"""A stand-in for the platform's key-value store, with its outages.
+
+It keeps revisions, leases, transactions and watches. A fault can be set for all callers: refuse,
+stay silent, or carry a write out and lose the answer; the history can be forgotten.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+from aiohttp import web
+
+__all__ = ["PlatformStoreStandIn", "StoreFault"]
+
+_MS_PER_S = 1_000
+_LEASE_CHECK_S = 0.05
+
+
+class StoreFault(StrEnum):
+    """What the store does to every call."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    SILENT = "silent"
+    LOSE_ANSWERS = "lose_answers"
+
+
+@dataclass(slots=True)
+class _Item:
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+@dataclass(slots=True)
+class _Event:
+    key: str
+    revision: int
+    item: _Item | None
+
+
+@dataclass
+class PlatformStoreStandIn:
+    """The store's state; `put` and `delete` are the operator's and the targets' way in."""
+
+    fault: StoreFault = StoreFault.NONE
+    revision: int = 1
+    calls: int = 0
+    items: dict[str, _Item] = field(default_factory=dict)
+    events: list[_Event] = field(default_factory=list)
+    forgotten: int = 0
+    leases: dict[int, float] = field(default_factory=dict)
+    lease_ttls: dict[int, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Make the signal that wakes waiting watches."""
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: Any, lease: int = 0) -> None:
+        """Write a key; a value that is not bytes is written as JSON."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._write(key, base64.b64encode(raw).decode(), lease)
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record(_Event(key, self.revision, None))
+
+    def forget_history(self) -> None:
+        """Drop all events; watches that need them get 410."""
+        self.forgotten = self.revision
+        self.events.clear()
+
+    def build_app(self) -> web.Application:
+        """Build the HTTP application."""
+        app = web.Application(middlewares=[self._fail])
+        app.router.add_get("/api/kv-key", self._get)
+        app.router.add_get("/api/kv-range", self._range)
+        app.router.add_get("/api/kv-watch", self._watch)
+        app.router.add_post("/api/kv-txn", self._transact)
+        app.router.add_post("/api/kv-lease", self._open_lease)
+        app.router.add_post("/api/kv-keep/{lease}", self._keep)
+        app.router.add_delete("/api/kv-lease-end/{lease}", self._end)
+        return app
+
+    async def run(self) -> None:
+        """End leases that were not renewed, for ever."""
+        while True:
+            await asyncio.sleep(_LEASE_CHECK_S)
+            for lease in [lease for lease, end in self.leases.items() if time.monotonic() > end]:
+                self._end_lease(lease)
+
+    @web.middleware
+    async def _fail(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        self.calls += 1
+        if self.fault is StoreFault.REFUSE:
+            return web.Response(status=503)
+        if self.fault is StoreFault.SILENT:
+            await asyncio.sleep(3_600)
+        response = await handler(request)
+        if self.fault is StoreFault.LOSE_ANSWERS and request.method == "POST":
+            await asyncio.sleep(3_600)
+        return response
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        self.items[key] = _Item(value, self.revision, created, lease)
+        self._record(_Event(key, self.revision, self.items[key]))
+
+    def _record(self, event: _Event) -> None:
+        self.events.append(event)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item.lease == lease]:
+            self.delete(key)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        key = request.query["key"]
+        if key not in self.items:
+            return web.Response(status=404)
+        return web.json_response({**self._show(key, self.items[key]), "as_of": self.revision})
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["path_prefix"], request.query.get("after", "")
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        items = [self._show(key, self.items[key]) for key in keys]
+        return web.json_response({"items": items, "truncated": False, "as_of": self.revision})
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["path_prefix"], int(request.query["after"])
+        end = time.monotonic() + int(request.query["wait_ms"]) / _MS_PER_S
+        while True:
+            if after < self.forgotten:
+                return web.Response(status=410)
+            events = [
+                self._show_event(event)
+                for event in self.events
+                if event.revision > after and event.key.startswith(prefix)
+            ]
+            left_s = end - time.monotonic()
+            if events or left_s <= 0:
+                return web.json_response({"events": events, "as_of": self.revision})
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body.get("expected", []):
+            known = self.items.get(row["key"])
+            if (known.revision if known else 0) != row["revision"]:
+                return web.json_response({"items": []}, status=412)
+        for row in body.get("writes", []):
+            if row.get("lease") and row["lease"] not in self.leases:
+                return web.Response(status=404)
+        for row in body.get("writes", []):
+            self._write(row["key"], row["value"], row.get("lease", 0))
+        for key in body.get("deletes", []):
+            self.delete(key)
+        return web.json_response({"revision": self.revision})
+
+    async def _open_lease(self, request: web.Request) -> web.Response:
+        ttl_ms = (await request.json())["ttl_ms"]
+        lease = len(self.lease_ttls) + 1
+        self.lease_ttls[lease] = ttl_ms / _MS_PER_S
+        self.leases[lease] = time.monotonic() + ttl_ms / _MS_PER_S
+        return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["lease"])
+        if lease not in self.leases:
+            return web.Response(status=404)
+        self.leases[lease] = time.monotonic() + self.lease_ttls[lease]
+        return web.json_response({"ttl_ms": int(self.lease_ttls[lease] * _MS_PER_S)})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self._end_lease(int(request.match_info["lease"]))
+        return web.Response()
+
+    def _show(self, key: str, item: _Item) -> dict[str, Any]:
+        return {
+            "key": key,
+            "value": item.value,
+            "revision": item.revision,
+            "created": item.created,
+            "lease": item.lease,
+        }
+
+    def _show_event(self, event: _Event) -> dict[str, Any]:
+        if event.item is None:
+            return {"key": event.key, "revision": event.revision, "tombstone": True}
+        return self._show(event.key, event.item)
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,65 @@
+"""The platform's names stay in one folder, and layers import only inwards."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path("src/waxwingshelf")
+WORDS = (
+    "Attempt-Id",
+    "Server-Signature",
+    "Not-Executed",
+    "Expected-Instance",
+    "Affinity-Key",
+    "Server-Load",
+    "Cold-Remaining-Ms",
+    "Instance-Id",
+    "kv-txn",
+    "kv-watch",
+    "kv-range",
+    "kv-lease",
+    "api_keys",
+    "traffic_split",
+    "target_latency_ms",
+    "cold_remaining_ms",
+    "path_prefix",
+    "listeners",
+    "clusters",
+)
+FORBIDDEN = {
+    "steering": ("asyncio", "aiohttp", "waxwingshelf.platform", "waxwingshelf.serving"),
+    "platform": ("waxwingshelf.serving", "waxwingshelf.program", "waxwingshelf.adapters"),
+    "core": ("waxwingshelf.steering", "waxwingshelf.platform", "waxwingshelf.serving"),
+}
+DECISIONS = ("placement", "waiting", "limits", "attempts", "directory", "durations", "routes")
+
+
+def list_imports(path: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+def test_no_other_module_knows_a_name_of_the_platform() -> None:
+    for path in SOURCE.rglob("*.py"):
+        if path.parent.name != "platform":
+            found = [word for word in WORDS if word in path.read_text()]
+            assert not found, f"{path}: {found}"
+
+
+@pytest.mark.parametrize("layer", sorted(FORBIDDEN))
+def test_layers_import_inwards(layer) -> None:
+    for path in (SOURCE / layer).glob("*.py"):
+        for name in list_imports(path):
+            assert not name.startswith(FORBIDDEN[layer]), f"{path}: {name}"
+
+
+def test_the_platform_folder_decides_nothing() -> None:
+    for path in (SOURCE / "platform").glob("*.py"):
+        for name in list_imports(path):
+            assert not name.endswith(DECISIONS), f"{path}: {name}"
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,125 @@
+"""What stands in the store is decoded once, and what cannot be used is refused by name."""
+
+import json
+from typing import Any
+
+import pytest
+
+from waxwingshelf.platform.documents import (
+    DecodeError,
+    decode_config,
+    decode_member,
+    decode_target,
+    encode_member,
+)
+from waxwingshelf.steering.config import Destination, RouteKind
+from waxwingshelf.steering.fleet import PeerAddress
+
+SERVER: dict[str, Any] = {
+    "address": "10.128.0.9:8080",
+    "information": {"service": "reads", "version": "v1", "zone": "north-1", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "cold_remaining_ms": 0},
+    "born": 1_700_000_000_000,
+}
+CONFIG: dict[str, Any] = {
+    "version": "r7",
+    "limits": {"max_body_bytes": 1_000, "idle_timeout_ms": 9_000},
+    "tenants": [
+        {"name": "o", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 20, "burst": 30}
+    ],
+    "listeners": [
+        {
+            "host": "A.example",
+            "rules": [
+                {
+                    "name": "r",
+                    "kind": "upload",
+                    "target_latency_ms": 400,
+                    "priority": 2,
+                    "sticky": True,
+                    "match": {"path_prefix": "/x/"},
+                    "action": {
+                        "traffic_split": [{"service": "a", "weight": 9}, {"service": "b"}],
+                        "timeout_ms": 1_200.0,
+                        "attempts": 2,
+                        "home_regions": ["north"],
+                    },
+                    "later_field": {},
+                }
+            ],
+        }
+    ],
+    "clusters": [{"name": "a", "cold_start_s": 3.0, "cold_per_s": 7.5}],
+}
+
+
+def encode(document: Any) -> bytes:
+    return json.dumps(document).encode()
+
+
+def test_a_configuration_is_translated() -> None:
+    config = decode_config(encode(CONFIG))
+    route = config.routes[0]
+    assert config.version == 7
+    assert route.kind is RouteKind.UPLOAD
+    assert not route.idempotent
+    assert route.destinations == (Destination("a", 9), Destination("b", 1))
+    assert (route.aim_ms, route.timeout_ms, route.attempts) == (400, 1_200, 2)
+    assert config.organisations_by_key["k2"].rate_per_s == 20
+    assert config.services["a"].cold_start_ms == 3_000
+    assert config.routes_by_host["a.example"]["/x/"] is route
+    assert config.limits.idle_timeout_ms == 9_000
+
+
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        ({"version": "7"}, "version"),
+        ({"listeners": [{"rules": []}]}, "host"),
+        ({"tenants": [{"api_keys": []}]}, "name"),
+        ({"clusters": 3}, "clusters"),
+    ],
+)
+def test_a_faulty_configuration_names_the_place(change, place) -> None:
+    with pytest.raises(DecodeError, match=place):
+        decode_config(encode({**CONFIG, **change}))
+    with pytest.raises(DecodeError):
+        decode_config(encode(CONFIG)[:-20])
+
+
+def test_a_target_is_translated() -> None:
+    target = decode_target("i-1", encode(SERVER))
+    assert (target.id, target.service, target.host, target.port) == (
+        "i-1",
+        "reads",
+        "10.128.0.9",
+        8080,
+    )
+    assert (target.failure_domain, target.slots, target.draining) == ("north-1", 9, False)
+    assert target.started_ms == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        {**SERVER, "address": 7},
+        {**SERVER, "address": "nowhere"},
+        {**SERVER, "status": {"state": "resting"}},
+        {**SERVER, "information": {"service": "reads"}},
+        {**SERVER, "information": {**SERVER["information"], "slots": 0}},
+        [],
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(document) -> None:
+    with pytest.raises(DecodeError):
+        decode_target("i-1", encode(document))
+
+
+def test_bytes_that_cannot_be_read_name_no_target() -> None:
+    with pytest.raises(DecodeError):
+        decode_target("i-1", b"\xff\x00{")
+
+
+def test_a_member_survives_the_store() -> None:
+    address = PeerAddress("n", "north", "north-1", "10.0.0.1", 1, 2, "10.0.0.1:3")
+    assert decode_member("n", encode_member(address)) == address
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,56 @@
+"""The platform's settings file, read once into the project's names."""
+
+import pytest
+
+from waxwingshelf.platform.settings import Endpoint, FaultySettingsError, load_settings
+
+TEXT = """
+[self]
+node_name = "frontend-1"
+zone = "north-1"
+region = "north"
+serves = ["frontend"]
+later_field = 3
+[network]
+internal_ports = [7740, 7755]
+seed_nodes = ["10.1.0.35:8688"]
+[network.listen]
+frontend = "10.1.0.35:8686"
+ready = "10.1.0.35:8680"
+control_plane = "10.1.0.35:8688"
+directory = "10.1.0.35:8684"
+[network.zones]
+north-1 = "north"
+[platform.platform]
+address = "10.200.1.7:8682"
+[terms.bounds]
+grace_period_s = 6
+ttl_max_s = 5
+"""
+
+
+def test_settings_are_translated_and_unknown_fields_ignored(tmp_path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT)
+    settings = load_settings(path)
+    assert settings.name == "frontend-1"
+    assert settings.callers == Endpoint("10.1.0.35", 8686)
+    assert settings.store == Endpoint("10.200.1.7", 8682)
+    assert settings.regions == {"north-1": "north"}
+    assert settings.bounds.grace_ms == 6_000
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ('zone = "north-1"\n', "", "zone"),
+        ('frontend = "10.1.0.35:8686"', 'frontend = "10.1.0.35"', "HOST:PORT"),
+        ("[7740, 7755]", "[7740]", "internal_ports"),
+        ("[self]", "[self", "line"),
+    ],
+)
+def test_a_fault_names_its_place(tmp_path, old, new, place) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(TEXT.replace(old, new))
+    with pytest.raises(FaultySettingsError, match=place):
+        load_settings(path)
--- /dev/null
+++ b/tests/serving/conftest.py
@@ -0,0 +1,201 @@
+"""One instance of the platform's path on loopback, with stand-ins for store and targets."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from standins.platform_store import PlatformStoreStandIn
+from standins.platform_target import PlatformTargetStandIn
+from tools.processes import find_ports
+from waxwingshelf.platform.settings import Bounds, Endpoint, InstanceSettings
+from waxwingshelf.serving.instance import Instance
+from waxwingshelf.serving.logs import LogBuffer
+
+HOST = "127.0.0.1"
+WAIT_S = 10.0
+CONFIG: dict[str, Any] = {
+    "version": "r1",
+    "limits": {"max_body_bytes": 100_000},
+    "tenants": [
+        {"name": "acme", "api_keys": ["acme-key"], "priority": 1, "rate_per_s": 1000, "burst": 500},
+        {"name": "tiny", "api_keys": ["tiny-key"], "priority": 1, "rate_per_s": 1, "burst": 2},
+    ],
+    "listeners": [
+        {
+            "host": "a.example",
+            "rules": [
+                {
+                    "name": name,
+                    "kind": kind,
+                    "target_latency_ms": 400,
+                    "priority": 1,
+                    "sticky": True,
+                    "match": {"path_prefix": f"/{name}/"},
+                    "action": {"service": "work", "timeout_ms": 1_000, "attempts": 3},
+                }
+                for name, kind in (("read", "safe"), ("order", "unsafe"), ("sheet", "upload"))
+            ],
+        }
+    ],
+    "clusters": [{"name": "work", "cold_start_s": 1, "cold_per_s": 10}],
+}
+
+
+@dataclass
+class Answer:
+    """What a caller saw."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Site:
+    """Store, targets and instances; `call` speaks as a caller does."""
+
+    session: aiohttp.ClientSession
+    store: PlatformStoreStandIn
+    store_port: int
+    targets: dict[str, PlatformTargetStandIn] = field(default_factory=dict)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    settings: dict[str, InstanceSettings] = field(default_factory=dict)
+    tasks: list[asyncio.Task[Any]] = field(default_factory=list)
+    runners: list[web.AppRunner] = field(default_factory=list)
+    ids: int = 0
+
+    async def start_store(self) -> None:
+        runner = web.AppRunner(self.store.build_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, self.store_port).start()
+        self.runners.append(runner)
+
+    async def add_target(self, name: str, work_s: float = 0.0) -> PlatformTargetStandIn:
+        target = PlatformTargetStandIn(name, work_s)
+        await target.start()
+        self.targets[name] = target
+        self.register(name)
+        return target
+
+    def register(self, name: str, state: str = "ready", **status: Any) -> None:
+        target = self.targets[name]
+        self.store.put(
+            f"servers/{name}",
+            {
+                "address": f"{HOST}:{target.port}",
+                "information": {"service": "work", "zone": "north-1", "slots": 4},
+                "status": {"state": state, "sequence": 1, "cold_remaining_ms": 0, **status},
+            },
+        )
+
+    async def start_instance(self, name: str, grace_ms: int = 4_000) -> Instance:
+        ports = find_ports(6)
+        settings = InstanceSettings(
+            name=name,
+            region="north",
+            failure_domain="north-1",
+            callers=Endpoint(HOST, ports[0]),
+            readiness=Endpoint(HOST, ports[1]),
+            directory=Endpoint(HOST, ports[2]),
+            peer_state=Endpoint(HOST, ports[3]),
+            store=Endpoint(HOST, self.store_port),
+            seeds=tuple(known.peer_state for known in self.settings.values()),
+            peer_ports=(ports[4], ports[5]),
+            regions={"north-1": "north", "south-1": "south"},
+            bounds=Bounds(grace_ms=grace_ms),
+        )
+        self.settings[name] = settings
+        instance = Instance(settings, LogBuffer(descriptor=2))
+        self.instances[name] = instance
+        self.tasks.append(asyncio.create_task(instance.run()))
+        return instance
+
+    async def call(
+        self,
+        path: str,
+        name: str = "n0",
+        method: str = "GET",
+        key: str = "acme-key",
+        deadline_ms: int = 3_000,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        self.ids += 1
+        sent = {
+            "Host": "a.example",
+            "Attempt-Id": f"id-{self.ids}",
+            "Affinity-Key": "7",
+            "Deadline-Ms": str(deadline_ms),
+            "Credential": key,
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = f"http://{self.settings[name].callers}{path}"
+        request = self.session.request(method, url, headers=sent, data=body)
+        async with request as response:
+            return Answer(response.status, dict(response.headers), await response.read())
+
+    async def fetch(self, endpoint: Endpoint, path: str) -> tuple[int, bytes]:
+        async with self.session.get(f"http://{endpoint}{path}") as response:
+            return response.status, await response.read()
+
+    async def resolve(self, name: str) -> list[str]:
+        endpoint = self.settings[name].directory
+        query = "/api/resolve?name=a.example&region=north&zone=north-1"
+        status, body = await self.fetch(endpoint, query)
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    async def until(self, condition: Callable[[], Any]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                result = condition()
+                if isinstance(result, Awaitable):
+                    result = await result
+                if result:
+                    return
+                await asyncio.sleep(0.02)
+
+    async def until_ready(self, name: str) -> None:
+        async def is_ready() -> bool:
+            try:
+                status, _ = await self.fetch(self.settings[name].readiness, "/api/readiness")
+            except aiohttp.ClientError:
+                return False
+            return status == 200
+
+        await self.until(is_ready)
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for target in self.targets.values():
+            await target.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+
+
+@pytest.fixture
+def play() -> Callable[[Callable[[Site], Awaitable[None]]], None]:
+    """Run a scenario against a site with one store and the configuration in it."""
+
+    def run(scenario: Callable[[Site], Awaitable[None]]) -> None:
+        async def main() -> None:
+            async with aiohttp.ClientSession() as session:
+                site = Site(session, PlatformStoreStandIn(), find_ports(1)[0])
+                await site.start_store()
+                site.tasks.append(asyncio.create_task(site.store.run()))
+                site.store.put("op/config", CONFIG)
+                try:
+                    await scenario(site)
+                finally:
+                    await site.stop()
+
+        asyncio.run(main())
+
+    return run
--- /dev/null
+++ b/tests/serving/test_path.py
@@ -0,0 +1,259 @@
+"""The platform's path end to end on loopback, with its troubles."""
+
+import asyncio
+
+import pytest
+
+from standins.platform_store import StoreFault
+from standins.platform_target import Answering
+
+
+def test_a_request_reaches_its_target_unchanged_and_without_the_key(play) -> None:
+    async def scenario(site) -> None:
+        target = await site.add_target("t1")
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        answer = await site.call(
+            "/order/a%2Fb?x=%20y", method="POST", body=b"payload", Tenant="forged", X_Own="kept"
+        )
+        assert (answer.status, answer.body) == (200, b"answer to id-1")
+        assert answer.headers["Server-Signature"] == "ok"
+        line, headers = target.heads[0]
+        assert line == "POST /order/a%2Fb?x=%20y HTTP/1.1"
+        assert target.bodies == [b"payload"]
+        assert headers["tenant"] == "acme"
+        assert headers["expected-instance"] == "t1"
+        assert headers["x-own"] == "kept"
+        assert headers["host"] == "a.example"
+        assert 0 < int(headers["deadline-ms"]) <= 1_000
+        assert "credential" not in headers
+
+    play(scenario)
+
+
+REFUSALS = [
+    ("/nowhere/", "acme-key", "GET", 404),
+    ("/read/", "wrong", "GET", 401),
+    ("/read/", "", "GET", 401),
+]
+
+
+@pytest.mark.parametrize(("path", "key", "method", "status"), REFUSALS)
+def test_what_the_configuration_does_not_allow(play, path, key, method, status) -> None:
+    async def scenario(site) -> None:
+        target = await site.add_target("t1")
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        assert (await site.call(path, key=key, method=method)).status == status
+        assert not target.heads
+
+    play(scenario)
+
+
+def test_an_instance_without_a_configuration_promises_not_run(play) -> None:
+    async def scenario(site) -> None:
+        site.store.fault = StoreFault.REFUSE
+        await site.start_instance("n0")
+        await asyncio.sleep(0.2)
+        answer = await site.call("/read/x")
+        assert answer.status == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        status, _ = await site.fetch(site.settings["n0"].readiness, "/api/readiness")
+        assert status == 503
+        site.store.fault = StoreFault.NONE
+        await site.until_ready("n0")
+
+    play(scenario)
+
+
+def test_a_rate_is_kept_and_the_caller_told_when_to_return(play) -> None:
+    async def scenario(site) -> None:
+        await site.add_target("t1")
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        answers = [await site.call("/read/x", key="tiny-key") for _ in range(6)]
+        assert [answer.status for answer in answers].count(200) <= 3
+        refused = [answer for answer in answers if answer.status == 429]
+        assert refused
+        assert all(float(answer.headers["Retry-After"]) > 0 for answer in refused)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("answering", "path", "method", "status", "runs"),
+    [
+        (Answering.SHED, "/order/x", "POST", 200, 1),
+        (Answering.RESET, "/order/x", "POST", 502, 1),
+        (Answering.CUT, "/order/x", "POST", 502, 1),
+        (Answering.UNSIGNED, "/order/x", "POST", 502, 1),
+        (Answering.FAIL, "/order/x", "POST", 500, 1),
+        (Answering.RESET, "/read/x", "GET", 200, 2),
+        (Answering.CUT, "/read/x", "GET", 200, 2),
+        (Answering.FAIL, "/read/x", "GET", 200, 2),
+    ],
+)
+def test_only_what_may_run_again_is_sent_again(play, answering, path, method, status, runs) -> None:
+    async def scenario(site) -> None:
+        first = await site.add_target("t1")
+        first.answering = answering
+        second = await site.add_target("t2")
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        second_first = None
+        # The first send of some object goes to the faulty target.
+        for number in range(30):
+            before = first.runs.total() + second.runs.total()
+            heads = len(first.heads)
+            answer = await site.call(path, method=method, Affinity_Key=str(number))
+            if len(first.heads) > heads:
+                second_first = answer
+                break
+        assert second_first is not None
+        assert second_first.status == status
+        assert first.runs.total() + second.runs.total() - before == runs
+
+    play(scenario)
+
+
+def test_a_request_past_its_routes_timeout_is_answered_at_once(play) -> None:
+    async def scenario(site) -> None:
+        target = await site.add_target("t1", work_s=30.0)
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        async with asyncio.timeout(1.5):
+            answer = await site.call("/read/x")
+        assert answer.status == 504
+        await site.until(lambda: target.dropped == ["id-1"])
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_cancels_the_work(play) -> None:
+    async def scenario(site) -> None:
+        target = await site.add_target("t1", work_s=30.0)
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await site.call("/order/x", method="POST")
+        await site.until(lambda: target.dropped == ["id-1"])
+
+    play(scenario)
+
+
+def test_a_draining_or_removed_target_gets_no_new_work(play) -> None:
+    async def scenario(site) -> None:
+        first = await site.add_target("t1")
+        second = await site.add_target("t2")
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        site.register("t1", state="draining")
+        await asyncio.sleep(0.5)
+        for number in range(10):
+            await site.call("/read/x", Affinity_Key=str(number))
+        assert not first.heads
+        assert len(second.heads) == 10
+
+    play(scenario)
+
+
+def test_a_silent_store_stops_nobody_and_lapsed_entries_are_held(play) -> None:
+    async def scenario(site) -> None:
+        await site.add_target("t1")
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        site.store.fault = StoreFault.REFUSE
+        for runner in site.runners:
+            await runner.cleanup()
+        site.store.delete("servers/t1")
+        await asyncio.sleep(1.0)
+        assert (await site.call("/read/x")).status == 200
+        site.store.fault = StoreFault.NONE
+        await site.start_store()
+        await asyncio.sleep(0.8)
+        site.register("t1")
+        for _ in range(10):
+            assert (await site.call("/read/x")).status == 200
+            await asyncio.sleep(0.2)
+
+    play(scenario)
+
+
+def test_an_instance_that_the_store_turns_away_learns_from_a_peer(play) -> None:
+    async def scenario(site) -> None:
+        await site.add_target("t1")
+        instances = [await site.start_instance(name) for name in ("n0", "n1")]
+        for name in ("n0", "n1"):
+            await site.until_ready(name)
+        await site.until(lambda: len(instances[0]._fleet.list_ready(instances[0]._clock.now_ms())))
+        feed = instances[0]._beliefs
+        before = feed.mirror.as_of
+
+        async def refuse(*_args):
+            raise AssertionError("not reached")
+
+        # n0 no longer sees the store: its watch is told that nothing changed.
+        instances[0]._beliefs.apply = _drop_from_store(instances[0]._beliefs.apply)
+        instances[0]._beliefs.replace = _drop_from_store(instances[0]._beliefs.replace)
+        site.register("t1", state="draining")
+        await site.until(lambda: feed.book.list_usable("work") == [])
+        assert feed.mirror.as_of > before
+
+    play(scenario)
+
+
+def _drop_from_store(take):
+    def filtered(changes, as_of, source):
+        if source != "store":
+            take(changes, as_of, source)
+
+    return filtered
+
+
+def test_the_directory_names_ready_instances_and_drops_one_that_stops(play) -> None:
+    async def scenario(site) -> None:
+        await site.add_target("t1", work_s=0.6)
+        instances = [await site.start_instance(name) for name in ("n0", "n1")]
+        for name in ("n0", "n1"):
+            await site.until_ready(name)
+        addresses = {str(site.settings[name].callers) for name in ("n0", "n1")}
+
+        async def both() -> bool:
+            return set(await site.resolve("n0")) == addresses
+
+        await site.until(both)
+        under_way = asyncio.create_task(site.call("/order/x", name="n1", method="POST"))
+        await asyncio.sleep(0.1)
+        instances[1].stop()
+        answer = await under_way
+        assert answer.status == 200
+        assert answer.headers.get("Connection") == "close"
+
+        async def one() -> bool:
+            return await site.resolve("n0") == [str(site.settings["n0"].callers)]
+
+        await site.until(one)
+        late = await site.call("/read/x", name="n1")
+        assert late.status == 200
+
+    play(scenario)
+
+
+def test_the_configuration_never_goes_back(play) -> None:
+    async def scenario(site) -> None:
+        from tests.serving.conftest import CONFIG
+
+        await site.add_target("t1")
+        instance = await site.start_instance("n0")
+        await site.until_ready("n0")
+        site.store.put("op/config", {**CONFIG, "version": "r20", "listeners": []})
+        await site.until(lambda: instance._beliefs.config.version == 20)
+        assert (await site.call("/read/x")).status == 404
+        site.store.put("op/config", {**CONFIG, "version": "r9"})
+        site.store.put("op/config", b"{not json")
+        site.store.forget_history()
+        await asyncio.sleep(0.8)
+        assert instance._beliefs.config.version == 20
+
+    play(scenario)
--- /dev/null
+++ b/tests/steering/test_limits.py
@@ -0,0 +1,133 @@
+"""Budgets of the whole fleet: rates, retries, cold targets."""
+
+import pytest
+
+from waxwingshelf.steering.fleet import Beat, Fleet, PeerAddress
+from waxwingshelf.steering.limits import ColdAllotment, RateBucket, RetryBudget
+
+SECOND_MS = 1_000
+
+
+def make_address(name: str) -> PeerAddress:
+    return PeerAddress(name, "north", "north-1", "127.0.0.1", 1, 2, f"{name}:3")
+
+
+def make_beat(name: str, number: int, demand: dict[str, float], ready: bool = True) -> Beat:
+    return Beat(make_address(name), 1, number, ready, 1, 1, demand)
+
+
+def make_fleets(names: list[str], demands: dict[str, float], now_ms: int) -> dict[str, Fleet]:
+    fleets = {name: Fleet(name, now_ms) for name in names}
+    for fleet in fleets.values():
+        fleet.store_seen_ms = now_ms
+        for name in names:
+            fleet.note_registered(make_address(name))
+            fleet.note_beat(make_beat(name, 1, {"o": demands[name]}), now_ms)
+    return fleets
+
+
+def test_parts_follow_demand_and_sum_to_one() -> None:
+    demands = {"a": 30.0, "b": 10.0, "c": 0.0}
+    fleets = make_fleets(list(demands), demands, 0)
+    shares = {name: fleet.find_share("o", demands[name], 10) for name, fleet in fleets.items()}
+    assert sum(shares.values()) == pytest.approx(1.0)
+    assert shares["a"] > 2 * shares["b"] > 0
+    assert shares["c"] > 0
+
+
+def test_a_silent_peer_keeps_its_part_until_the_store_confirms_its_end() -> None:
+    demands = {"a": 10.0, "b": 10.0, "c": 10.0}
+    fleet = make_fleets(list(demands), demands, 0)["a"]
+    fleet.note_beat(make_beat("c", 2, {"o": 10.0}), 60_000)
+    fleet.store_seen_ms = 60_000
+    assert fleet.find_share("o", 10.0, 60_000) == pytest.approx(1 / 3)
+    fleet.note_unregistered("b", 60_000)
+    assert fleet.forget_gone(60_100) == []
+    assert fleet.forget_gone(64_000) == ["b"]
+
+
+def test_an_isolated_instance_shrinks_its_part() -> None:
+    demands = {"a": 10.0, "b": 10.0, "c": 10.0}
+    fleet = make_fleets(list(demands), demands, 0)["a"]
+    assert fleet.find_share("o", 10.0, 100) == pytest.approx(1 / 3)
+    assert fleet.is_isolated(10_000)
+    assert fleet.find_share("o", 10.0, 10_000) < 1 / 3
+
+
+def test_an_outage_of_the_store_alone_isolates_nobody() -> None:
+    demands = {"a": 10.0, "b": 10.0, "c": 10.0}
+    fleet = make_fleets(list(demands), demands, 0)["a"]
+    for name in ("b", "c"):
+        fleet.note_beat(make_beat(name, 9, {"o": 10.0}), 60_000)
+    assert not fleet.is_isolated(60_100)
+
+
+def test_old_and_own_beats_are_ignored() -> None:
+    fleet = Fleet("a", 0)
+    assert fleet.note_beat(make_beat("b", 5, {}), 0)
+    assert not fleet.note_beat(make_beat("b", 5, {}), 1)
+    assert not fleet.note_beat(make_beat("a", 9, {}), 1)
+    assert [peer.name for peer in fleet.list_ready(1_000)] == ["b"]
+    assert fleet.list_ready(1_300) == []
+
+
+@pytest.mark.parametrize("shift_s", [1, 2, 3])
+def test_the_rate_holds_over_the_fleet_while_demand_moves(shift_s: int) -> None:
+    """Replay of a tenant at eight times its usual that moves from one instance to another."""
+    rate, burst, window_s = 40.0, 40.0, 5
+    names = ["a", "b"]
+    demands = {"a": 0.0, "b": 0.0}
+    fleets = make_fleets(names, demands, 0)
+    buckets = {name: RateBucket(rate, burst, 0.5, 0) for name in names}
+    admitted: list[int] = []
+    for now_ms in range(0, 12_000, 5):
+        busy = "a" if now_ms < shift_s * SECOND_MS else "b"
+        if now_ms % 250 == 0:
+            for name in names:
+                target = 200.0 if name == busy else 0.0
+                demands[name] += (target - demands[name]) * 0.22
+            for name in names:
+                for fleet in fleets.values():
+                    fleet.note_beat(make_beat(name, now_ms + 2, {"o": demands[name]}), now_ms)
+                    fleet.store_seen_ms = now_ms
+                buckets[name].set_share(fleets[name].find_share("o", demands[name], now_ms), now_ms)
+        if buckets[busy].take(now_ms):
+            admitted.append(now_ms)
+    bound = (rate * window_s + burst) * 1.1 + 20
+    for start in range(0, 7_000, 100):
+        inside = sum(start <= moment < start + window_s * SECOND_MS for moment in admitted)
+        assert inside <= bound
+    assert len(admitted) > 0.8 * rate * 12
+
+
+def test_a_frozen_instance_starts_with_an_empty_bucket() -> None:
+    bucket = RateBucket(10.0, 100.0, 1.0, 0)
+    bucket.empty(5_000)
+    assert not bucket.take(5_000)
+    assert bucket.find_wait_ms() == pytest.approx(100, abs=2)
+    assert bucket.take(5_150)
+
+
+def test_retries_stay_within_ratio_and_part_of_the_slack() -> None:
+    budget = RetryBudget(0.2, 56.0, 8)
+    first = sum(budget.take() for _ in range(100))
+    assert first <= 56 / 8
+    for _ in range(100):
+        budget.note_request()
+    assert sum(budget.take() for _ in range(100)) <= 20
+
+
+@pytest.mark.parametrize("count", [1, 8, 14, 76, 1_000])
+def test_all_instances_together_keep_a_cold_target_within_its_bound(count: int) -> None:
+    bound = 7.5 * 1.5 + 5
+    names = [f"n{number}" for number in range(count)]
+    allotments = [ColdAllotment(name) for name in names]
+    sends = sorted(
+        now_ms
+        for now_ms in range(0, 3_000, 50)
+        for allotment in allotments
+        if allotment.take("t", bound, names, now_ms)
+    )
+    for start in range(0, 2_000, 50):
+        assert sum(start <= moment < start + SECOND_MS for moment in sends) <= bound
+    assert sends
--- /dev/null
+++ b/tests/steering/test_mirror.py
@@ -0,0 +1,62 @@
+"""The copy of the store's keys takes changes from any source in any order."""
+
+import random
+
+from waxwingshelf.steering.mirror import Change, Mirror
+
+
+def test_an_older_change_never_replaces_a_newer_one() -> None:
+    mirror = Mirror()
+    assert mirror.apply([Change("k", 5, b"new")], 5)
+    assert not mirror.apply([Change("k", 4, b"old")], 4)
+    assert mirror.get("k") == Change("k", 5, b"new")
+    assert mirror.as_of == 5
+
+
+def test_a_removed_key_does_not_come_back_from_a_lagging_peer() -> None:
+    mirror = Mirror()
+    mirror.apply([Change("k", 3, b"x")], 3)
+    mirror.apply([Change("k", 7, None)], 7)
+    assert not mirror.apply([Change("k", 3, b"x")], 3)
+    assert mirror.get("k") is None
+
+
+def test_a_listing_removes_what_it_lacks_but_not_what_is_newer() -> None:
+    mirror = Mirror()
+    mirror.apply([Change("old", 3, b"x"), Change("newer", 12, b"y")], 9)
+    news = mirror.replace([Change("kept", 2, b"z")], 10)
+    assert {change.key: change.value for change in news} == {"kept": b"z", "old": None}
+    assert mirror.get("newer") is not None
+
+
+def test_a_listing_older_than_the_mirror_changes_nothing() -> None:
+    mirror = Mirror()
+    mirror.apply([Change("k", 9, b"x")], 9)
+    assert mirror.replace([], 8) == []
+    assert mirror.get("k") is not None
+
+
+def test_history_is_given_only_when_it_is_complete() -> None:
+    mirror = Mirror()
+    mirror.replace([Change("k", 4, b"x")], 10)
+    assert mirror.list_after(9) is None
+    mirror.apply([Change("k", 11, b"y")], 11)
+    assert mirror.list_after(10) == [Change("k", 11, b"y")]
+
+
+def test_any_order_of_the_same_changes_gives_the_same_keys() -> None:
+    rng = random.Random(7)
+    changes = [
+        Change(f"k{rng.randrange(4)}", revision, None if rng.random() < 0.3 else b"%d" % revision)
+        for revision in range(1, 60)
+    ]
+    expected = Mirror()
+    expected.apply(changes, 60)
+    for _ in range(20):
+        rng.shuffle(changes)
+        shuffled = Mirror()
+        for change in changes:
+            shuffled.apply([change], 60)
+        assert {c.key: c for c in shuffled.list_items()} == {
+            c.key: c for c in expected.list_items()
+        }
--- /dev/null
+++ b/tests/steering/test_routes.py
@@ -0,0 +1,86 @@
+"""Routes by longest prefix, splits by weight, homes of route and organisation together."""
+
+from collections import Counter
+
+import pytest
+
+from waxwingshelf.steering.config import (
+    CallerLimits,
+    Destination,
+    OrganisationRule,
+    RouteKind,
+    RouteRule,
+    SteeringConfig,
+)
+from waxwingshelf.steering.routes import (
+    choose_service,
+    find_allowed_regions,
+    find_priority,
+    find_route,
+)
+
+REGIONS = frozenset({"north", "south", "west"})
+
+
+def make_route(prefix: str = "/", **fields) -> RouteRule:
+    values = {
+        "name": f"r{prefix}",
+        "host": "a.example",
+        "prefix": prefix,
+        "kind": RouteKind.SAFE,
+        "destinations": (Destination("reads", 1),),
+        "aim_ms": 500,
+        "timeout_ms": 2_000,
+        "attempts": 2,
+        "priority": 2,
+    }
+    return RouteRule(**{**values, **fields})
+
+
+def make_config(*routes: RouteRule) -> SteeringConfig:
+    return SteeringConfig(1, CallerLimits(1, 1, 1, 1), routes, {}, {})
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("a.example", "/x/y/z", "/x/y/"),
+        ("A.Example:8080", "/x/y/", "/x/y/"),
+        ("a.example", "/x/yy", "/x/"),
+        ("a.example", "/x", "/"),
+        ("a.example", "/other/x/", "/"),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host, path, prefix) -> None:
+    config = make_config(make_route("/"), make_route("/x/"), make_route("/x/y/"))
+    route = find_route(config, host, path)
+    assert route is not None
+    assert route.prefix == prefix
+
+
+def test_no_route_of_another_host_or_prefix() -> None:
+    config = make_config(make_route("/x/"))
+    assert find_route(config, "b.example", "/x/") is None
+    assert find_route(config, "a.example", "/y/") is None
+
+
+def test_a_split_keeps_its_weights_and_a_request_its_part() -> None:
+    route = make_route(destinations=(Destination("reads", 90), Destination("new", 10)))
+    counts = Counter(choose_service(route, f"id-{number}") for number in range(5_000))
+    assert counts["new"] / 5_000 == pytest.approx(0.1, abs=0.02)
+    assert choose_service(route, "id-7") == choose_service(route, "id-7")
+
+
+def test_homes_of_route_and_organisation_both_bind() -> None:
+    organisation = OrganisationRule("o", (), None, 0, 0, frozenset({"north", "south"}))
+    route = make_route(home_regions=frozenset({"south", "west"}))
+    assert find_allowed_regions(route, organisation, REGIONS) == {"south"}
+    assert find_allowed_regions(make_route(), None, REGIONS) == frozenset()
+    apart = make_route(home_regions=frozenset({"west"}))
+    assert not find_allowed_regions(apart, organisation, REGIONS) & REGIONS
+
+
+def test_an_organisations_priority_goes_before_its_routes() -> None:
+    assert find_priority(make_route(priority=2), None) == 2
+    assert find_priority(make_route(priority=2), OrganisationRule("o", (), 0, 0, 0)) == 0
+    assert find_priority(make_route(priority=2), OrganisationRule("o", (), None, 0, 0)) == 2
