Hold removals only after a real outage, and admit first requests on the slack

Cause: a forgotten history counted as a failed call, and two of them as an outage, after which removals are held for 2.2 s; with the second that the watch had been deaf a target that left in the gap could get work for more than the drain time allows. Change: 410 leads straight to a listing; only an outage of a second or more holds removals; half of the slack of the rates is shared out as extra burst.

--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -45,6 +45,7 @@
     cold_overage: float = 1.5
     cold_slack: float = 5.0
     max_region_shift: float = 0.15
+    rate_slack: float = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +104,7 @@
     cold_overage: float = 1.5
     cold_slack: float = 5
     max_shift: float = 0.15
+    quota_slack: float = 20
 
 
 class _Terms(msgspec.Struct):
@@ -154,6 +156,7 @@
             cold_overage=bounds.cold_overage,
             cold_slack=bounds.cold_slack,
             max_region_shift=bounds.max_shift,
+            rate_slack=bounds.quota_slack,
         ),
     )
 
--- a/src/waxwingshelf/serving/demand.py
+++ b/src/waxwingshelf/serving/demand.py
@@ -14,6 +14,8 @@
 
 _TIME_CONSTANT_MS = 1_000.0
 _MIN_RATE = 0.01
+# The rest of the slack is for parts that overlap while demand moves.
+_SLACK_PART = 0.5
 _MS_PER_S = 1_000
 # A longer gap between two updates means that the process stood still.
 _FROZEN_MS = 1_000
@@ -22,9 +24,10 @@
 class Demand:
     """Demand rates and token buckets by organisation."""
 
-    def __init__(self, clock: Clock, fleet: Fleet) -> None:
+    def __init__(self, clock: Clock, fleet: Fleet, rate_slack: float) -> None:
         self._clock = clock
         self._fleet = fleet
+        self._rate_slack = rate_slack
         self._counts: dict[str, int] = {}
         self._rates: dict[str, float] = {}
         self._buckets: dict[str, RateBucket] = {}
@@ -48,7 +51,8 @@
         bucket = self._buckets.get(rule.name)
         if bucket is None:
             share = self._fleet.find_share(rule.name, self._rates.get(rule.name, 0.0), now_ms)
-            bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms)
+            slack = _SLACK_PART * self._rate_slack / len(self._fleet.list_names())
+            bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms, slack)
         elif self._rules[rule.name] != limits:
             bucket.set_rate(*limits, now_ms)
         self._rules[rule.name] = limits
--- a/src/waxwingshelf/serving/feed.py
+++ b/src/waxwingshelf/serving/feed.py
@@ -24,6 +24,8 @@
 _LEASE_MS = 6_000
 _RENEW_S = 2.0
 _LOST_AFTER_FAILURES = 2
+# In a shorter outage no entry of a living target lapses.
+_LAPSE_AFTER_MS = 1_000
 _log = structlog.get_logger("feed")
 
 
@@ -48,6 +50,7 @@
         self._rng = random.Random(address.name)
         self._lease: int | None = None
         self._failures = 0
+        self._lost_ms = 0
 
     async def follow(self) -> None:
         """Bring every change of the store into the beliefs, for ever."""
@@ -60,8 +63,12 @@
                 await self._watch()
                 await asyncio.sleep(_BATCH_S)
             except StoreError as failure:
+                if failure.kind is StoreFailureKind.COMPACTED:
+                    # The store is there; only the way of catching up changes.
+                    _log.info("history_gone", after=self._beliefs.mirror.as_of)
+                    listed = False
+                    continue
                 self._note_failure(failure)
-                listed = listed and failure.kind is not StoreFailureKind.COMPACTED
                 await asyncio.sleep(_RETRY_S * self._rng.uniform(0.5, 1.5))
 
     async def register(self) -> None:
@@ -111,12 +118,16 @@
         self._metrics.store_calls.labels(step, "ok").inc()
         self._fleet.store_seen_ms = self._clock.now_ms()
         if self._failures >= _LOST_AFTER_FAILURES:
-            _log.info("store_regained", after_failures=self._failures)
-            self._beliefs.note_store_back()
+            away_ms = self._clock.now_ms() - self._lost_ms
+            _log.info("store_regained", after_failures=self._failures, away_ms=away_ms)
+            if away_ms >= _LAPSE_AFTER_MS:
+                self._beliefs.note_store_back()
         self._failures = 0
 
     def _note_failure(self, failure: StoreError) -> None:
         self._metrics.store_calls.labels(failure.step, failure.kind.value).inc()
         self._failures += 1
+        if self._failures == 1:
+            self._lost_ms = self._clock.now_ms()
         if self._failures == _LOST_AFTER_FAILURES:
             _log.warning("store_lost", detail=str(failure))
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -71,7 +71,7 @@
         self._metrics = metrics = Metrics()
         self._fleet = Fleet(settings.name, clock.now_ms())
         self._beliefs = Beliefs(clock, self._fleet)
-        self._demand = Demand(clock, self._fleet)
+        self._demand = Demand(clock, self._fleet, settings.bounds.rate_slack)
         self._upstream = UpstreamClient()
         self._link = PeerLink(settings, self._fleet, self._beliefs, self._demand, clock, metrics)
         locality = Locality(settings.region, settings.failure_domain, settings.regions)
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -21,15 +21,22 @@
 
 
 class RateBucket:
-    """A token bucket over this instance's part of an organisation's rate and burst."""
+    """A token bucket over this instance's part of an organisation's rate and burst.
 
-    __slots__ = ("_at_ms", "_burst", "_rate_per_s", "_share", "_tokens")
+    `slack` is this instance's part of what all may admit beyond the rate; it serves the first
+    requests at an instance whose part has not followed the demand yet.
+    """
+
+    __slots__ = ("_at_ms", "_burst", "_rate_per_s", "_share", "_slack", "_tokens")
 
-    def __init__(self, rate_per_s: float, burst: float, share: float, now_ms: int) -> None:
+    def __init__(
+        self, rate_per_s: float, burst: float, share: float, now_ms: int, slack: float = 0.0
+    ) -> None:
         self._rate_per_s = rate_per_s
         self._burst = burst
         self._share = share
-        self._tokens = burst * share
+        self._slack = slack
+        self._tokens = burst * share + slack
         self._at_ms = now_ms
 
     def set_rate(self, rate_per_s: float, burst: float, now_ms: int) -> None:
@@ -37,13 +44,13 @@
         self._refill(now_ms)
         self._rate_per_s = rate_per_s
         self._burst = burst
-        self._tokens = min(self._tokens, burst * self._share)
+        self._tokens = min(self._tokens, self._find_most())
 
     def set_share(self, share: float, now_ms: int) -> None:
         """Follow a changed part; what was saved beyond it is dropped."""
         self._refill(now_ms)
         self._share = share
-        self._tokens = min(self._tokens, max(self._burst * share, 1.0))
+        self._tokens = min(self._tokens, self._find_most())
 
     def take(self, now_ms: int) -> bool:
         """Take a token."""
@@ -55,7 +62,7 @@
 
     def put_back(self) -> None:
         """Return the token of a request that no target got."""
-        self._tokens = min(self._tokens + 1.0, max(self._burst * self._share, 1.0))
+        self._tokens = min(self._tokens + 1.0, self._find_most())
 
     def empty(self, now_ms: int) -> None:
         """Drop all tokens: nobody knows what others used meanwhile."""
@@ -72,7 +79,10 @@
     def _refill(self, now_ms: int) -> None:
         gained = (now_ms - self._at_ms) / _MS_PER_S * self._rate_per_s * self._share
         self._at_ms = now_ms
-        self._tokens = min(self._tokens + max(0.0, gained), max(self._burst * self._share, 1.0))
+        self._tokens = min(self._tokens + max(0.0, gained), self._find_most())
+
+    def _find_most(self) -> float:
+        return max(self._burst * self._share + self._slack, 1.0)
 
 
 class RetryBudget:
