Explain a request from logs, follow changed settings, describe the operators' way

Cause: on-call engineers have only logs and metrics, and settings may change while a process runs. Change: waxwingshelf explain ID FILE...; docs/OPERATIONS.md for three kinds of failed request, its lists compared with the code by a test; regions and bounds are read again on SIGHUP and every 2 s.

--- a/src/waxwingshelf/program/cli.py
+++ b/src/waxwingshelf/program/cli.py
@@ -18,6 +18,7 @@
 from waxwingshelf.core.config import digest_key
 from waxwingshelf.core.manifest import list_faults
 from waxwingshelf.program.client import AdminClient, AdminError
+from waxwingshelf.program.explain import explain_request, read_log_lines
 from waxwingshelf.program.instance import run_instance
 from waxwingshelf.program.logs import set_up_logs
 from waxwingshelf.program.settings import FaultyDocumentError, load_document, load_settings
@@ -65,6 +66,17 @@
         return _EXIT_BY_REASON.get(error.reason, EXIT_REFUSED)
 
 
+@_command("explain")
+def _explain(options: argparse.Namespace) -> int:
+    lines = explain_request(options.request, read_log_lines(options.files))
+    for line in lines:
+        print(msgspec.json.encode(line).decode())
+    if not lines:
+        print(f"no line of request {options.request}", file=sys.stderr)
+        return EXIT_REFUSED
+    return EXIT_OK
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="waxwingshelf", description="Global traffic steering.")
     parser.add_argument("--version", action="version", version=__version__)
@@ -77,6 +89,10 @@
     check.set_defaults(command="check")
     _add_manifest_commands(commands.add_parser("manifest", help="show and change the manifest"))
     _add_entity_commands(commands)
+    explain = commands.add_parser("explain", help="gather what the logs say of one request")
+    explain.add_argument("request", help="the request's id")
+    explain.add_argument("files", type=Path, nargs="+", help="log files of the instances")
+    explain.set_defaults(command="explain")
     status = _add_admin(commands, "status", "status", "show what is in force where")
     status.add_argument("--shares", action="store_true", help="show the shares held there")
     return parser
--- a/src/waxwingshelf/serving/__main__.py
+++ b/src/waxwingshelf/serving/__main__.py
@@ -18,18 +18,19 @@
 
 def main() -> int:
     """Serve until SIGTERM; return 2 when the settings cannot be used."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if not path:
+    named = os.environ.get(SETTINGS_VARIABLE)
+    if not named:
         print(f"{SETTINGS_VARIABLE} is not set", file=sys.stderr)
         return 2
+    path = Path(named)
     try:
-        settings = load_settings(Path(path))
+        settings = load_settings(path)
     except FaultySettingsError as error:
         print(error, file=sys.stderr)
         return 2
     logs = LogBuffer()
     set_up_logs(logs, settings.name)
-    uvloop.run(run_instance(settings, logs))
+    uvloop.run(run_instance(path, settings, logs))
     return 0
 
 
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -5,13 +5,19 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import aiohttp
 import structlog
 from aiohttp import web
 
 from waxwingshelf.core.clock import SystemClock
-from waxwingshelf.platform.settings import Endpoint, InstanceSettings
+from waxwingshelf.platform.settings import (
+    Endpoint,
+    FaultySettingsError,
+    InstanceSettings,
+    load_settings,
+)
 from waxwingshelf.platform.store import StoreClient
 from waxwingshelf.serving.beliefs import Beliefs
 from waxwingshelf.serving.demand import Demand
@@ -33,6 +39,7 @@
 
 _TICK_S = 0.25
 _SEED_PERIOD_S = 0.5
+_SETTINGS_PERIOD_S = 2.0
 _POLL_S = 0.05
 _STORE_KEEPALIVE_S = 20.0
 # Until a configuration tells how long callers may stay idle.
@@ -49,22 +56,25 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-async def run_instance(settings: InstanceSettings, logs: LogBuffer) -> None:
-    """Serve until SIGTERM."""
-    instance = Instance(settings, logs)
+async def run_instance(path: Path, settings: InstanceSettings, logs: LogBuffer) -> None:
+    """Serve until SIGTERM, following the settings file at `path`."""
+    instance = Instance(settings, logs, path)
     loop = asyncio.get_running_loop()
     logs.attach(loop)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.stop)
-    loop.add_signal_handler(signal.SIGHUP, instance.note_reload)
+    loop.add_signal_handler(signal.SIGHUP, instance.reload)
     await instance.run()
 
 
 class Instance:
     """Own the adapters and tasks of one process."""
 
-    def __init__(self, settings: InstanceSettings, logs: LogBuffer) -> None:
+    def __init__(
+        self, settings: InstanceSettings, logs: LogBuffer, path: Path | None = None
+    ) -> None:
         self._settings = settings
+        self._path = path
         self._logs = logs
         self._stopped = asyncio.Event()
         self._clock = clock = SystemClock()
@@ -74,8 +84,8 @@
         self._demand = Demand(clock, self._fleet, settings.bounds.rate_slack)
         self._upstream = UpstreamClient()
         self._link = PeerLink(settings, self._fleet, self._beliefs, self._demand, clock, metrics)
-        locality = Locality(settings.region, settings.failure_domain, settings.regions)
-        services = Services(
+        locality = _find_locality(settings)
+        self._services = services = Services(
             settings.name, locality, settings.bounds, self._beliefs, self._fleet, clock
         )
         regions = frozenset(settings.regions.values())
@@ -94,9 +104,21 @@
         """Begin the graceful shutdown."""
         self._stopped.set()
 
-    def note_reload(self) -> None:
-        """Log a reload; nothing of the settings can change while the process runs."""
-        _log.info("settings_reloaded")
+    def reload(self) -> None:
+        """Take over regions and bounds of the settings file; addresses stay as they are."""
+        if self._path is None:
+            return
+        try:
+            settings = load_settings(self._path)
+        except FaultySettingsError as error:
+            _log.error("settings_rejected", detail=str(error))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._services.follow_settings(_find_locality(settings), settings.bounds)
+        self._requests.regions = frozenset(settings.regions.values())
+        _log.info("settings_reloaded", regions=sorted(set(settings.regions.values())))
 
     async def run(self) -> None:
         """Run all tasks until the shutdown is over."""
@@ -115,6 +137,7 @@
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._dispatcher.run()),
             asyncio.create_task(self._seed()),
+            asyncio.create_task(self._follow_settings()),
         ]
         stopped = asyncio.create_task(self._stopped.wait())
         try:
@@ -171,6 +194,12 @@
             if self._beliefs.config is None:
                 await self._link.pull_from_seeds()
 
+    async def _follow_settings(self) -> None:
+        """Read the file again now and then, as it may change without a signal."""
+        while True:
+            await asyncio.sleep(_SETTINGS_PERIOD_S)
+            self.reload()
+
     async def _drain(self, feed: StoreFeed) -> None:
         """Leave the directory, serve on, refuse what could not end in time, then finish."""
         started_ms = self._clock.now_ms()
@@ -200,6 +229,10 @@
         await session.close()
 
 
+def _find_locality(settings: InstanceSettings) -> Locality:
+    return Locality(settings.region, settings.failure_domain, settings.regions)
+
+
 def _build_server(handler: Handler, keepalive_s: float) -> web.Server:
     return web.Server(
         handler,
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -66,7 +66,7 @@
         self._demand = demand
         self._clock = clock
         self._metrics = metrics
-        self._regions = regions
+        self.regions = regions
         self.refusing = False
         self.closing = False
         self.in_flight = 0
@@ -163,7 +163,7 @@
             ready_ms=started_ms,
             aim_at_ms=started_ms + route.aim_ms,
             deadline_ms=started_ms + wait_ms,
-            allowed_regions=find_allowed_regions(route, organisation, self._regions),
+            allowed_regions=find_allowed_regions(route, organisation, self.regions),
             outgoing=OutgoingRequest(request.method, request.raw_path, headers, None, request_id),
             attempts=Attempts(route.idempotent, route.attempts),
         )
--- a/src/waxwingshelf/serving/services.py
+++ b/src/waxwingshelf/serving/services.py
@@ -55,6 +55,12 @@
         self._numbers = itertools.count()
         self.placer = Placer(locality, beliefs.book)
 
+    def follow_settings(self, locality: Locality, bounds: Bounds) -> None:
+        """Take over changed settings."""
+        self._bounds = bounds
+        self._retries.clear()
+        self.placer = Placer(locality, self._beliefs.book)
+
     def note_arrival(self, service: str) -> None:
         """Count a request for the retry budget of its service."""
         self._find_retries(service).note_request()
--- a/tests/serving/test_path.py
+++ b/tests/serving/test_path.py
@@ -275,3 +275,24 @@
         assert instance._beliefs.config.version == 20
 
     play(scenario)
+
+
+def test_changed_settings_are_taken_over_without_a_signal(play, tmp_path) -> None:
+    async def scenario(site) -> None:
+        from tests.platform.test_settings import TEXT
+
+        path = tmp_path / "node.toml"
+        path.write_text(TEXT)
+        await site.add_target("t1")
+        instance = await site.start_instance("n0")
+        await site.until_ready("n0")
+        instance._path = path
+        await site.until(lambda: instance._settings.bounds.max_ttl_ms == 5_000)
+        path.write_text(TEXT.replace("ttl_max_s = 5", "ttl_max_s = 4"))
+        await site.until(lambda: instance._settings.bounds.max_ttl_ms == 4_000)
+        path.write_text("[self")
+        instance.reload()
+        assert instance._settings.bounds.max_ttl_ms == 4_000
+        assert (await site.call("/read/x")).status == 200
+
+    play(scenario)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -48,3 +48,22 @@
 def test_every_refusal_reason_is_on_the_page() -> None:
     text = REFUSALS.read_text()
     assert {name for name in REASONS if f"`{name}`" not in text} == set()
+
+
+def list_events() -> set[str]:
+    pattern = re.compile(r'_log\.(?:info|warning|error|exception)\(\s*"([a-z_]+)"')
+    names: set[str] = set()
+    for path in Path("src/waxwingshelf/serving").glob("*.py"):
+        names |= set(pattern.findall(path.read_text()))
+    return names
+
+
+def test_operations_page_lists_every_event_and_metric_of_the_serving_path() -> None:
+    page = Path("docs/OPERATIONS.md").read_text()
+    for name in list_events():
+        assert re.search(rf"\b{name}\b", page), name
+    source = Path("src/waxwingshelf/serving/metrics.py").read_text()
+    metrics = re.findall(r'"(waxwingshelf_\w+)"', source)
+    assert metrics
+    for name in metrics:
+        assert f"`{name}`" in page, name
