--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -1,10 +1,12 @@
-"""Start one instance from a checkout, without installing the package."""
+"""Start one instance from what deploy/build.sh compiled, or from the sources of a checkout."""
 
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+_ROOT = Path(__file__).resolve().parent.parent
+_COMPILED = _ROOT / "target" / "app"
+sys.path.insert(0, str(_COMPILED if _COMPILED.is_dir() else _ROOT / "src"))
 
-from waxwingshelf.serving.__main__ import main
+from waxwingshelf.serving.__main__ import main  # noqa: E402
 
 sys.exit(main())
--- a/src/waxwingshelf/serving/beliefs.py
+++ b/src/waxwingshelf/serving/beliefs.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import structlog
 
 from waxwingshelf.core.clock import Clock
@@ -41,6 +43,7 @@
         self.mirror = Mirror()
         self.book = TargetBook()
         self.config: SteeringConfig | None = None
+        self.config_known = asyncio.Event()
         self._held: dict[str, int] = {}
         self._store_back_ms: int | None = None
 
@@ -111,6 +114,7 @@
         if self.config is not None and config.version <= self.config.version:
             return
         self.config = config
+        self.config_known.set()
         _log.info(
             "config_in_force",
             version=config.version,
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -134,6 +134,7 @@
             asyncio.create_task(feed.register()),
             asyncio.create_task(self._link.run()),
             asyncio.create_task(self._link.run_loads()),
+            asyncio.create_task(self._become_ready()),
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._dispatcher.run()),
             asyncio.create_task(self._seed()),
@@ -177,12 +178,19 @@
             self._idle_s = idle_s
             self._callers = _build_server(self._requests.handle, idle_s)
 
+    async def _become_ready(self) -> None:
+        """Be ready, and say so, as soon as there is a configuration."""
+        await self._beliefs.config_known.wait()
+        if not self._stopped.is_set():
+            self._link.ready = True
+            self._link.send_beats()
+        await asyncio.Event().wait()
+
     async def _tick(self) -> None:
         while True:
             self._beliefs.expire_held()
             self._demand.update(self._beliefs)
-            if self._beliefs.config is not None and not self._stopped.is_set():
-                self._link.ready = True
+            if self._beliefs.config is not None:
                 self._metrics.config_version.set(self._beliefs.config.version)
                 self._follow_limits(self._beliefs.config.limits)
             self._metrics.in_flight.set(self._requests.in_flight)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import structlog
 from aiohttp import web
@@ -42,6 +43,7 @@
 _DEFAULT_DEADLINE_MS = 30_000
 # Answers must reach the caller before it gives up.
 _DEADLINE_MARGIN_MS = 15
+_CONFIG_WAIT_S = 0.4
 _MS_PER_S = 1_000
 _NOT_RUN_STATUSES = (429, 503)
 _log = structlog.get_logger("requests")
@@ -91,7 +93,7 @@
     async def _serve(
         self, request: web.BaseRequest, request_id: str, started_ms: int
     ) -> Answered | Refusal:
-        config = self._beliefs.config
+        config = await self._wait_for_config()
         if config is None:
             return Refusal(RefusalReason.NO_CONFIG, Step.ROUTE, retry_after_ms=pick_return_ms())
         if self.refusing:
@@ -121,6 +123,14 @@
             bucket.put_back()
         return result
 
+    async def _wait_for_config(self) -> SteeringConfig | None:
+        """Return the configuration; just after a start it is there within a round trip or two."""
+        if self._beliefs.config is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_CONFIG_WAIT_S):
+                    await self._beliefs.config_known.wait()
+        return self._beliefs.config
+
     def _admit(self, organisation: OrganisationRule | None) -> RateBucket | Refusal | None:
         """Take a token of the organisation's rate; None when it has no limit."""
         if organisation is None or organisation.rate_per_s <= 0:
