Send heartbeats to few peers in a large fleet; load only the libraries of the build

And the serving process imported jsonschema through core.faults, which the build does not install: a clean machine would not have started. Change: past 16 peers a beat goes to 8 of the own region and one farther away; the settings' error needs no schema library; a test holds the process to the libraries of its build.

--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -9,17 +9,14 @@
 
 import msgspec
 
-from waxwingshelf.core.faults import Fault
-
 __all__ = ["Bounds", "Endpoint", "FaultySettingsError", "InstanceSettings", "load_settings"]
 
 
 class FaultySettingsError(Exception):
     """Report a settings file that cannot be used, naming the place."""
 
-    def __init__(self, path: Path, fault: Fault) -> None:
-        super().__init__(f"{path}: {fault}")
-        self.fault = fault
+    def __init__(self, path: Path, detail: str) -> None:
+        super().__init__(f"{path}: {detail}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,8 +122,7 @@
         return _translate(msgspec.convert(document, _File))
     except (OSError, ValueError) as error:
         # msgspec's and tomllib's errors are ValueErrors that name the field or the line.
-        fault = Fault("(file)", str(error), "the platform's settings")
-        raise FaultySettingsError(path, fault) from None
+        raise FaultySettingsError(path, str(error)) from None
 
 
 def _translate(file: _File) -> InstanceSettings:
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -30,7 +30,6 @@
 _BEAT_S = 0.25
 # Work at a target lasts some tenths of a second; what is in flight is told more often than that.
 _LOAD_S = 0.1
-_BEATS_EACH = 16
 _PULL_TIMEOUT_S = 1.0
 # The store's own watch is nearly always faster than this.
 _LAG_MS = 400
@@ -172,10 +171,7 @@
     def _send_all(self, data: bytes) -> None:
         if self._transport is None:
             return
-        peers = self._fleet.list_peers()
-        if len(peers) > _BEATS_EACH:
-            peers = self._rng.sample(peers, _BEATS_EACH)
-        for peer in peers:
+        for peer in self._fleet.choose_recipients(self.address.region, self._rng):
             self._transport.sendto(data, (peer.address.host, peer.address.beat_port))
 
     async def serve_state(self, request: web.BaseRequest) -> web.Response:
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -7,11 +7,18 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 
 __all__ = ["Beat", "Fleet", "LoadBeat", "Peer", "PeerAddress"]
 
 _SILENT_AFTER_MS = 1_200
+# A fleet of up to this many peers hears every heartbeat of everyone.
+_FULL_MESH = 16
+_NEAR_EACH = 8
+_FAR_EACH = 1
+# In a larger fleet a peer nearby is heard every other second or so, one far away seldom.
+_SPARSE_SILENT_AFTER_MS = 4_000
 _FORGET_DEMAND_AFTER_MS = 3_000
 _ISOLATED_AFTER_MS = 2_500
 _ISOLATED_PART = 0.8
@@ -140,7 +147,23 @@
 
     def is_heard(self, peer: Peer, now_ms: int) -> bool:
         """Tell whether a peer's heartbeats arrive."""
-        return peer.heard_ms is not None and now_ms - peer.heard_ms < _SILENT_AFTER_MS
+        sparse = len(self._peers) > _FULL_MESH
+        limit_ms = _SPARSE_SILENT_AFTER_MS if sparse else _SILENT_AFTER_MS
+        return peer.heard_ms is not None and now_ms - peer.heard_ms < limit_ms
+
+    def choose_recipients(self, region: str, rng: random.Random) -> list[Peer]:
+        """Return the peers that the next heartbeat goes to.
+
+        All of them in a small fleet; in a large one some of the own region, whose callers depend
+        on each other, and few of the others, so that the bytes grow with the fleet and no faster.
+        """
+        peers = list(self._peers.values())
+        if len(peers) <= _FULL_MESH:
+            return peers
+        near = [peer for peer in peers if peer.address.region == region]
+        far = [peer for peer in peers if peer.address.region != region]
+        chosen = rng.sample(near, min(_NEAR_EACH, len(near)))
+        return chosen + rng.sample(far, min(_FAR_EACH, len(far)))
 
     def list_peers(self) -> list[Peer]:
         """Return all known peers."""
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -1,6 +1,8 @@
 """The platform's names stay in one folder, and layers import only inwards."""
 
 import ast
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -59,6 +61,18 @@
             assert not name.startswith(FORBIDDEN[layer]), f"{path}: {name}"
 
 
+def test_the_serving_process_needs_only_the_libraries_of_its_build() -> None:
+    """What the build does not install must not be imported, and costs memory besides."""
+    code = "import sys, waxwingshelf.serving.__main__; print(*sys.modules)"
+    command = [sys.executable, "-c", code]
+    result = subprocess.run(
+        command, capture_output=True, text=True, check=True, env={"PYTHONPATH": "src"}
+    )
+    loaded = {name.partition(".")[0] for name in result.stdout.split()}
+    unwanted = {"jsonschema", "referencing", "json5", "jsonpatch", "statsd", "pynng", "click"}
+    assert not loaded & unwanted
+
+
 def test_the_platform_folder_decides_nothing() -> None:
     for path in (SOURCE / "platform").glob("*.py"):
         for name in list_imports(path):
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -1,5 +1,7 @@
 """Budgets of the whole fleet: rates, retries, cold targets."""
 
+import random
+
 import pytest
 
 from waxwingshelf.steering.fleet import Beat, Fleet, PeerAddress
@@ -62,6 +64,20 @@
     assert not fleet.is_isolated(60_100)
 
 
+@pytest.mark.parametrize(("count", "most"), [(8, 7), (17, 16), (76, 9), (1_000, 9)])
+def test_a_heartbeat_goes_to_few_peers_of_a_large_fleet(count: int, most: int) -> None:
+    fleet = Fleet("n0", 0)
+    for number in range(count):
+        region = ("north", "south", "west")[number % 3]
+        address = PeerAddress(f"n{number}", region, "d", "127.0.0.1", 1, 2, "x")
+        fleet.note_registered(address)
+    recipients = fleet.choose_recipients("north", random.Random(1))
+    assert len(recipients) == most
+    if count > 17:
+        near = [peer for peer in recipients if peer.address.region == "north"]
+        assert len(near) == most - 1
+
+
 def test_old_and_own_beats_are_ignored() -> None:
     fleet = Fleet("a", 0)
     assert fleet.note_beat(make_beat("b", 5, {}), 0)
