Count far regions' demand by sums in a large fleet

Cause: past 16 peers an instance hears a far one every ten seconds or so; while an organisation's demand jumps, each would divide its own new demand by old totals and the parts would sum to two or more. Change: heartbeats carry the sum over the sender's region, and far regions count by their newest sum. After: under 1.1 (test).

--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -79,7 +79,7 @@
         self._stopped = asyncio.Event()
         self._clock = clock = SystemClock()
         self._metrics = metrics = Metrics()
-        self._fleet = Fleet(settings.name, clock.now_ms())
+        self._fleet = Fleet(settings.name, clock.now_ms(), settings.region)
         self._beliefs = Beliefs(clock, self._fleet)
         self._demand = Demand(clock, self._fleet, settings.bounds.rate_slack)
         self._upstream = UpstreamClient()
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -132,6 +132,7 @@
         """Send one heartbeat to every peer, or to some of them in a large fleet."""
         config = self._beliefs.config
         self._number += 1
+        rates = self._demand.list_rates()
         beat = Beat(
             self.address,
             self._boot,
@@ -139,7 +140,8 @@
             self.ready,
             self._beliefs.mirror.as_of,
             config.version if config else 0,
-            self._demand.list_rates(),
+            rates,
+            self._fleet.sum_region(rates) if self._fleet.is_large() else {},
         )
         self._send_all(_BEAT_MARK + msgspec.msgpack.encode(beat))
 
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -41,7 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """One heartbeat: demand is in requests a second by organisation."""
+    """One heartbeat; demand is in requests a second by organisation.
+
+    `region_demand` is the sum over the sender's region, for those who seldom hear each of it.
+    """
 
     address: PeerAddress
     boot: int
@@ -50,6 +53,7 @@
     revision: int
     config_version: int
     demand: dict[str, float]
+    region_demand: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,8 +86,10 @@
 class Fleet:
     """All known instances but this one."""
 
-    def __init__(self, name: str, now_ms: int) -> None:
+    def __init__(self, name: str, now_ms: int, region: str = "") -> None:
         self._name = name
+        self._region = region
+        self._far_demand: dict[str, dict[str, float]] = {}
         self._peers: dict[str, Peer] = {}
         self._started_ms = now_ms
         self.store_seen_ms: int | None = None
@@ -103,6 +109,8 @@
         peer.ready, peer.revision = beat.ready, beat.revision
         peer.config_version, peer.demand = beat.config_version, beat.demand
         peer.heard_ms = now_ms
+        if peer.address.region != self._region:
+            self._far_demand[peer.address.region] = beat.region_demand
         return True
 
     def note_load_beat(self, beat: LoadBeat) -> bool:
@@ -147,10 +155,13 @@
 
     def is_heard(self, peer: Peer, now_ms: int) -> bool:
         """Tell whether a peer's heartbeats arrive."""
-        sparse = len(self._peers) > _FULL_MESH
-        limit_ms = _SPARSE_SILENT_AFTER_MS if sparse else _SILENT_AFTER_MS
+        limit_ms = _SPARSE_SILENT_AFTER_MS if self.is_large() else _SILENT_AFTER_MS
         return peer.heard_ms is not None and now_ms - peer.heard_ms < limit_ms
 
+    def is_large(self) -> bool:
+        """Tell whether not everyone hears every heartbeat."""
+        return len(self._peers) > _FULL_MESH
+
     def choose_recipients(self, region: str, rng: random.Random) -> list[Peer]:
         """Return the peers that the next heartbeat goes to.
 
@@ -158,7 +169,7 @@
         on each other, and few of the others, so that the bytes grow with the fleet and no faster.
         """
         peers = list(self._peers.values())
-        if len(peers) <= _FULL_MESH:
+        if not self.is_large():
             return peers
         near = [peer for peer in peers if peer.address.region == region]
         far = [peer for peer in peers if peer.address.region != region]
@@ -186,6 +197,26 @@
         seen_ms = self.store_seen_ms if self.store_seen_ms is not None else self._started_ms
         return now_ms - seen_ms > _ISOLATED_AFTER_MS
 
+    def sum_region(self, own: dict[str, float]) -> dict[str, float]:
+        """Return the demand of this instance's region by organisation."""
+        sums = dict(own)
+        for peer in self._peers.values():
+            if peer.address.region == self._region:
+                for name, rate in peer.demand.items():
+                    sums[name] = round(sums.get(name, 0.0) + rate, 2)
+        return sums
+
+    def _sum_known(self, organisation: str) -> float:
+        peers = self._peers.values()
+        if not self.is_large():
+            return sum(peer.demand.get(organisation, 0.0) for peer in peers)
+        near = sum(
+            peer.demand.get(organisation, 0.0)
+            for peer in peers
+            if peer.address.region == self._region
+        )
+        return near + sum(sums.get(organisation, 0.0) for sums in self._far_demand.values())
+
     def find_share(self, organisation: str, own_demand: float, now_ms: int) -> float:
         """Return this instance's part of an organisation's rate, between 0 and 1.
 
@@ -193,8 +224,7 @@
         silent peer's last demand stays counted until the store confirms that it is gone.
         """
         count = len(self._peers) + 1
-        known = sum(peer.demand.get(organisation, 0.0) for peer in self._peers.values())
-        total = known + own_demand
+        total = self._sum_known(organisation) + own_demand
         equal = 1.0 / count
         if total <= 0:
             return equal
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -78,6 +78,33 @@
         assert len(near) == most - 1
 
 
+def test_parts_in_a_large_fleet_follow_the_sums_of_the_regions() -> None:
+    """Replay of an organisation whose demand jumps while far instances are seldom heard."""
+    fleets = {}
+    for number in range(60):
+        name, region = f"n{number}", ("north", "south", "west")[number % 3]
+        fleets[name] = Fleet(name, 0, region)
+    addresses = {
+        name: PeerAddress(name, fleet._region, "d", "127.0.0.1", 1, 2, "x")
+        for name, fleet in fleets.items()
+    }
+    for fleet in fleets.values():
+        fleet.store_seen_ms = 0
+        for address in addresses.values():
+            fleet.note_registered(address)
+    rng = random.Random(3)
+    for beat_number, demand in ((1, 1.0), (2, 8.0), (3, 8.0), (4, 8.0), (5, 8.0)):
+        for name, fleet in fleets.items():
+            own = {"o": demand}
+            sums = fleet.sum_region(own)
+            beat = Beat(addresses[name], 1, beat_number, True, 1, 1, own, sums)
+            for _ in range(4):
+                for peer in fleet.choose_recipients(fleet._region, rng):
+                    fleets[peer.address.name].note_beat(beat, 100 * beat_number)
+    shares = [fleet.find_share("o", 8.0, 600) for fleet in fleets.values()]
+    assert sum(shares) < 1.1
+
+
 def test_old_and_own_beats_are_ignored() -> None:
     fleet = Fleet("a", 0)
     assert fleet.note_beat(make_beat("b", 5, {}), 0)
