--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: demo test lint bench bench-quick capacity fuzz binary schema format
+.PHONY: demo test soak lint bench bench-quick capacity fuzz binary schema format
 
 $(VENV)/.installed: requirements/run.txt requirements/dev.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -41,3 +41,7 @@
 
 schema: $(VENV)/.installed
 	$(PYTHON) -m tools.schema
+
+SEEDS ?= $(shell seq 1 50)
+soak: $(VENV)/.installed
+	$(PYTHON) -m tests.soak.soak $(SEEDS)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -83,6 +83,8 @@
             watch = asyncio.create_task(reader.read(1))
             done, _ = await asyncio.wait([watch], timeout=self.work_s)
             if done:
+                # A reset ends the read with an error; either way the caller is gone.
+                watch.exception()
                 self.dropped.append(request_id)
                 return False
             watch.cancel()
