--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -159,7 +159,9 @@
         capacity = home / total
         regions = len(set(self._locality.regions.values()))
         stay = min(_MOST_AT_HOME, capacity * regions * _HOME_FILL)
-        return max(1.0, stay * (1.0 - capacity) / (capacity * (1.0 - stay)))
+        weight = max(1.0, stay * (1.0 - capacity) / (capacity * (1.0 - stay)))
+        # In steps, so that one target more or less moves no other target's objects.
+        return float(2 ** round(math.log2(weight)))
 
     def _is_home(self, state: TargetState) -> bool:
         region = self._locality.find_region(state.target.failure_domain)
