Let few of a region watch the store in a large fleet, and push what is new

Ruled out: longer batches (a change has 2.5 to 4 s to be in force everywhere). Change: past 16 peers the two of a region that rank first by rendezvous hash watch the store, tell the whole region at once when something is new, and the others read it from them; when none that watches is heard, everyone watches.

--- a/src/waxwingshelf/serving/feed.py
+++ b/src/waxwingshelf/serving/feed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -21,6 +22,8 @@
 # Changes that come close together share one call.
 _BATCH_S = 0.15
 _RETRY_S = 0.25
+# How soon an instance follows the store itself when nobody near does.
+_COVERED_S = 0.25
 _LEASE_MS = 6_000
 _RENEW_S = 2.0
 _LOST_AFTER_FAILURES = 2
@@ -49,8 +52,10 @@
         self._metrics = metrics
         self._rng = random.Random(address.name)
         self._lease: int | None = None
+        self.on_news: Callable[[], None] = _do_nothing
         self._failures = 0
         self._lost_ms = 0
+        self.watching = False
 
     async def follow(self) -> None:
         """Bring every change of the store into the beliefs, for ever."""
@@ -60,6 +65,11 @@
                 if not listed:
                     await self._list()
                     listed = True
+                if not self._fleet.needs_own_watch(self._clock.now_ms()):
+                    self.watching = False
+                    await asyncio.sleep(_COVERED_S)
+                    continue
+                self.watching = True
                 await self._watch()
                 await asyncio.sleep(_BATCH_S)
             except StoreError as failure:
@@ -101,6 +111,8 @@
         batch = await self._store.watch(_ALL_KEYS, self._beliefs.mirror.as_of, _WATCH_MS)
         self._note_success("watch")
         self._beliefs.apply(batch.changes, batch.as_of, "store")
+        if batch.changes:
+            self.on_news()
 
     async def _keep_registered(self) -> None:
         if self._lease is not None:
@@ -126,8 +138,13 @@
 
     def _note_failure(self, failure: StoreError) -> None:
         self._metrics.store_calls.labels(failure.step, failure.kind.value).inc()
+        self.watching = False
         self._failures += 1
         if self._failures == 1:
             self._lost_ms = self._clock.now_ms()
         if self._failures == _LOST_AFTER_FAILURES:
             _log.warning("store_lost", detail=str(failure))
+
+
+def _do_nothing() -> None:
+    """Nobody waits for news."""
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -129,6 +129,8 @@
         feed = StoreFeed(
             store, self._beliefs, self._fleet, self._link.address, self._clock, self._metrics
         )
+        feed.on_news = self._link.push_news
+        self._link.is_watching = lambda: feed.watching
         await self._open()
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
         tasks = [
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -99,6 +99,7 @@
             _LOAD_MARK: self._take_loads,
         }
         self.ready = False
+        self.is_watching: Callable[[], bool] = lambda: True
         self.address = PeerAddress(
             name=settings.name,
             region=settings.region,
@@ -138,6 +139,16 @@
 
     def send_beats(self) -> None:
         """Send one heartbeat to every peer, or to some of them in a large fleet."""
+        self._send_all(self._build_beat())
+
+    def push_news(self) -> None:
+        """Tell all of the region at once that there is something new to read here."""
+        if self._fleet.is_large():
+            data = self._build_beat()
+            for address in self._fleet.list_near():
+                self.send_to(address, data)
+
+    def _build_beat(self) -> bytes:
         config = self._beliefs.config
         self._number += 1
         rates = self._demand.list_rates()
@@ -150,8 +161,9 @@
             config.version if config else 0,
             rates,
             self._fleet.sum_region(rates) if self._fleet.is_large() else {},
+            self.is_watching(),
         )
-        self._send_all(_BEAT_MARK + msgspec.msgpack.encode(beat))
+        return _BEAT_MARK + msgspec.msgpack.encode(beat)
 
     async def run_loads(self) -> None:
         """Tell the peers what is in flight here, for ever."""
@@ -181,7 +193,11 @@
             self._transport.sendto(data, (address.host, address.beat_port))
 
     def _take_beat(self, data: memoryview) -> None:
-        self._fleet.note_beat(_BEAT_DECODER.decode(data), self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        beat = _BEAT_DECODER.decode(data)
+        known = self._fleet.note_beat(beat, now_ms)
+        if known and not self._fleet.needs_own_watch(now_ms):
+            self._catch_up()
 
     def _take_loads(self, data: memoryview) -> None:
         beat = _LOAD_DECODER.decode(data)
@@ -218,7 +234,9 @@
             return
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
-        if now_ms - self._behind_since_ms < _LAG_MS:
+        # One who watches the store itself is nearly always served by that first.
+        covered = not self._fleet.needs_own_watch(now_ms)
+        if not covered and now_ms - self._behind_since_ms < _LAG_MS:
             return
         if self._pulling is None or self._pulling.done():
             address = ahead.address
@@ -227,7 +245,10 @@
     def _find_ahead(self, now_ms: int) -> Peer | None:
         heard = [peer for peer in self._fleet.list_peers() if self._fleet.is_heard(peer, now_ms)]
         ahead = [peer for peer in heard if peer.revision > self._beliefs.mirror.as_of]
-        return max(ahead, key=lambda peer: peer.revision, default=None)
+        region = self.address.region
+        return max(
+            ahead, key=lambda peer: (peer.address.region == region, peer.revision), default=None
+        )
 
     async def _pull(self, host: str, port: int) -> None:
         if self._session is None:
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -19,6 +19,7 @@
 _FULL_MESH = 16
 _NEAR_EACH = 8
 _FAR_EACH = 1
+_WATCHERS_A_REGION = 2
 # In a larger fleet a peer nearby is heard every other second or so, one far away seldom.
 _SPARSE_SILENT_AFTER_MS = 4_000
 _FORGET_DEMAND_AFTER_MS = 3_000
@@ -45,7 +46,8 @@
 class Beat:
     """One heartbeat; demand is in requests a second by organisation.
 
-    `region_demand` is the sum over the sender's region, for those who seldom hear each of it.
+    `region_demand` is the sum over the sender's region, for those who seldom hear each of it;
+    `watching` tells that the sender follows the store itself.
     """
 
     address: PeerAddress
@@ -56,6 +58,7 @@
     config_version: int
     demand: dict[str, float]
     region_demand: dict[str, float] = field(default_factory=dict)
+    watching: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +80,7 @@
     number: int = -1
     load_number: int = -1
     ready: bool = False
+    watching: bool = False
     revision: int = 0
     config_version: int = 0
     demand: dict[str, float] = field(default_factory=dict)
@@ -110,6 +114,7 @@
         peer.boot, peer.number = beat.boot, beat.number
         peer.ready, peer.revision = beat.ready, beat.revision
         peer.config_version, peer.demand = beat.config_version, beat.demand
+        peer.watching = beat.watching
         peer.heard_ms = now_ms
         if peer.address.region != self._region:
             self._far_demand[peer.address.region] = beat.region_demand
@@ -160,6 +165,31 @@
         limit_ms = _SPARSE_SILENT_AFTER_MS if self.is_large() else _SILENT_AFTER_MS
         return peer.heard_ms is not None and now_ms - peer.heard_ms < limit_ms
 
+    def needs_own_watch(self, now_ms: int) -> bool:
+        """Tell whether this instance has to follow the store itself.
+
+        In a large fleet the first few of each region do it for the others, who read from them what
+        is new; when none of them is heard to, everyone does.
+        """
+        if not self.is_large():
+            return True
+        near = [
+            peer
+            for peer in self._peers.values()
+            if peer.address.region == self._region and self.is_heard(peer, now_ms)
+        ]
+        names = [self._name, *(peer.address.name for peer in near)]
+        names.sort(key=lambda name: hash_unit("store watch", name))
+        if self._name in names[:_WATCHERS_A_REGION]:
+            return True
+        return not any(peer.watching for peer in near)
+
+    def list_near(self) -> list[PeerAddress]:
+        """Return the peers of this region."""
+        return [
+            peer.address for peer in self._peers.values() if peer.address.region == self._region
+        ]
+
     def find_address(self, name: str) -> PeerAddress | None:
         """Return where a peer is, None when it is not known."""
         peer = self._peers.get(name)
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -106,6 +106,26 @@
     assert 0.9 < sum(shares) < 1.1
 
 
+def test_few_of_a_region_follow_the_store_and_all_do_when_they_fall_silent() -> None:
+    names = [f"n{number}" for number in range(30)]
+    fleets = {name: Fleet(name, 0, "north") for name in names}
+    for number, now_ms in ((1, 0), (2, 500)):
+        for name in names:
+            watching = fleets[name].needs_own_watch(now_ms)
+            beat = Beat(make_address(name), 1, number, True, 1, 1, {}, {}, watching)
+            for fleet in fleets.values():
+                fleet.note_beat(beat, now_ms)
+    watchers = [name for name in names if fleets[name].needs_own_watch(600)]
+    assert len(watchers) == 2
+    for name in names:
+        beat = Beat(make_address(name), 1, 3, True, 1, 1, {}, {}, False)
+        for fleet in fleets.values():
+            fleet.note_beat(beat, 700)
+    assert all(fleet.needs_own_watch(800) for fleet in fleets.values())
+    small = Fleet("n0", 0, "north")
+    assert small.needs_own_watch(0)
+
+
 def test_the_instances_of_a_region_agree_on_who_keeps_a_rate() -> None:
     names = [f"n{number}" for number in range(30)]
     fleets = {name: Fleet(name, 0, "north") for name in names}
