Give the instances of a test site ports of their own

The log shows a readiness call that met another instance's callers' port. Change: a site remembers the ports it gave.

--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -69,6 +69,7 @@
     tasks: list[asyncio.Task[Any]] = field(default_factory=list)
     runners: list[web.AppRunner] = field(default_factory=list)
     ids: int = 0
+    given: set[int] = field(default_factory=set)
 
     async def start_store(self) -> None:
         runner = web.AppRunner(self.store.build_app(), shutdown_timeout=0.1)
@@ -94,8 +95,14 @@
             },
         )
 
+    def _choose_ports(self, count: int) -> list[int]:
+        """Find ports that no instance of this site was given, as those may not listen yet."""
+        ports = [port for port in find_ports(4 * count) if port not in self.given][:count]
+        self.given.update(ports)
+        return ports
+
     async def start_instance(self, name: str, grace_ms: int = 4_000) -> Instance:
-        ports = find_ports(6)
+        ports = self._choose_ports(6)
         settings = InstanceSettings(
             name=name,
             region="north",
