--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -18,17 +18,22 @@
     instance._link.send_to = lossy
 
 
+async def wait_until_large(site) -> None:
+    """Wait until every instance is ready and knows that the fleet is large."""
+    for name in site.instances:
+        await site.until_ready(name)
+    fleets = [instance._fleet for instance in site.instances.values()]
+    await site.until(lambda: all(fleet.is_large() for fleet in fleets))
+    await asyncio.sleep(1.0)
+
+
 def test_a_lost_datagram_costs_neither_the_request_nor_a_token(play) -> None:
     async def scenario(site) -> None:
         await site.add_target("t1")
         names = [f"n{number}" for number in range(18)]
         for name in names:
             drop_every_second(await site.start_instance(name))
-        for name in names:
-            await site.until_ready(name)
-        fleets = [instance._fleet for instance in site.instances.values()]
-        await site.until(lambda: all(fleet.is_large() for fleet in fleets))
-        await asyncio.sleep(1.0)
+        await wait_until_large(site)
         answers = [
             await site.call("/read/x", name=names[number % 18], key="acme-key")
             for number in range(36)
@@ -47,11 +52,7 @@
         names = [f"n{number}" for number in range(20)]
         for name in names:
             await site.start_instance(name)
-        for name in names:
-            await site.until_ready(name)
-        fleets = [instance._fleet for instance in site.instances.values()]
-        await site.until(lambda: all(fleet.is_large() for fleet in fleets))
-        await asyncio.sleep(1.0)
+        await wait_until_large(site)
         answers = [
             await site.call("/read/x", name=names[number % 20], key="tiny-key")
             for number in range(60)
