Keep owners of rates few, on large links, asked over connections

Asks were datagrams; 260 of 655 unanswered ones never reached the owner, whose 10 Mbit/s link was full of uploads, or never left the asker's. Each silent owner made its asker turn to the next, which began with a part of its own; owners of other regions heard of the demand seldom, and at the start not at all, and took 0.9 each. Ruled out: the owner's code (asks that arrive are answered within 1 ms). Change: owners stand on the machines with large links, at most eight a region; asks go over one kept connection each, at most to two owners; owners tell each other their demand, a part grows only with demand that the others were told of, a region that tells nothing keeps an equal part, further owners of a region split its idle part; an unused rate waits half for demand that moves. Heartbeats of a large fleet carry no demand any more. The kept part for when no owner answers follows a changed rule.

--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -59,12 +59,18 @@
     peer_ports: tuple[int, int]
     regions: dict[str, str]
     bounds: Bounds = field(default_factory=Bounds)
+    link_mbps: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    link_mbps: float = 0.0
 
 
 class _Self(msgspec.Struct):
     node_name: str
     zone: str
     region: str
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Listen(msgspec.Struct):
@@ -148,6 +154,7 @@
             cold_slack=bounds.cold_slack,
             rate_slack=bounds.quota_slack,
         ),
+        link_mbps=file.self.limits.link_mbps,
     )
 
 
--- a/src/waxwingshelf/serving/demand.py
+++ b/src/waxwingshelf/serving/demand.py
@@ -9,6 +9,7 @@
 from waxwingshelf.steering.config import OrganisationRule
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import RateBucket
+from waxwingshelf.steering.owners import RateOwners
 
 __all__ = ["Demand"]
 
@@ -26,9 +27,10 @@
 class Demand:
     """Demand rates and token buckets by organisation."""
 
-    def __init__(self, clock: Clock, fleet: Fleet, rate_slack: float) -> None:
+    def __init__(self, clock: Clock, fleet: Fleet, owners: RateOwners, rate_slack: float) -> None:
         self._clock = clock
         self._fleet = fleet
+        self._owners = owners
         self._rate_slack = rate_slack
         self._counts: dict[str, int] = {}
         self._rates: dict[str, float] = {}
@@ -55,6 +57,8 @@
             part = _SPARE_PART / len(self._fleet.list_names())
             bucket = RateBucket(rule.rate_per_s, rule.burst, part, now_ms)
             self._spare[rule.name] = bucket
+        else:
+            bucket.set_rate(rule.rate_per_s, rule.burst, now_ms)
         return bucket.take(now_ms)
 
     def find_bucket(self, rule: OrganisationRule) -> RateBucket:
@@ -63,7 +67,7 @@
         limits = (rule.rate_per_s, rule.burst)
         bucket = self._buckets.get(rule.name)
         if bucket is None:
-            share = self._fleet.find_share(rule.name, self._rates.get(rule.name, 0.0), now_ms)
+            share = self._find_share(rule.name, rule.rate_per_s, now_ms)
             slack = _SLACK_PART * self._rate_slack / len(self._fleet.list_names())
             bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms, slack)
         elif self._rules[rule.name] != limits:
@@ -88,8 +92,14 @@
         for name, bucket in self._buckets.items():
             if elapsed_ms > _FROZEN_MS:
                 bucket.empty(now_ms)
-            share = self._fleet.find_share(name, self._rates.get(name, 0.0), now_ms)
-            bucket.set_share(share, now_ms)
+            bucket.set_share(self._find_share(name, self._rules[name][0], now_ms), now_ms)
+
+    def _find_share(self, name: str, rate_per_s: float, now_ms: int) -> float:
+        own = self._rates.get(name, 0.0)
+        if self._fleet.is_large():
+            regions = len(self._fleet.list_regions())
+            return self._owners.find_share(name, own, rate_per_s, regions)
+        return self._fleet.find_share(name, own, rate_per_s, now_ms)
 
     def _drop_unknown(self, beliefs: Beliefs) -> None:
         if beliefs.config is None:
--- /dev/null
+++ b/src/waxwingshelf/serving/grants.py
@@ -0,0 +1,165 @@
+"""Ask the owners of rates for tokens, over one kept connection to each.
+
+Datagrams would be lost whenever uploads fill the link of a small machine; a connection only delays.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+
+from waxwingshelf.core.clock import Clock
+
+__all__ = ["Ask", "Grant", "GrantServer", "OwnerConnection"]
+
+_CONNECT_TIMEOUT_S = 0.5
+_ASK_TIMEOUT_S = 0.2
+# A connection may go silent for good; it is given up when nothing came for this long.
+_SILENT_AFTER_MS = 600
+_LENGTH_BYTES = 4
+_MOST_FRAME_BYTES = 1_024
+_log = structlog.get_logger("rates")
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask the owner for one token."""
+
+    number: int
+    organisation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The owner's answer."""
+
+    number: int
+    granted: bool
+    wait_ms: int
+
+
+_ASK_DECODER = msgspec.msgpack.Decoder(Ask)
+_GRANT_DECODER = msgspec.msgpack.Decoder(Grant)
+
+
+def _write(writer: asyncio.StreamWriter, message: Ask | Grant) -> None:
+    body = msgspec.msgpack.encode(message)
+    writer.write(len(body).to_bytes(_LENGTH_BYTES, "big") + body)
+
+
+async def _read(reader: asyncio.StreamReader) -> bytes:
+    length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES), "big")
+    if length > _MOST_FRAME_BYTES:
+        raise ValueError(f"a message of {length} bytes")
+    return await reader.readexactly(length)
+
+
+class GrantServer:
+    """Answer the asks of other instances."""
+
+    def __init__(self, decide: Callable[[Ask], Grant]) -> None:
+        self._decide = decide
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer one connection until it ends."""
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            while True:
+                ask = _ASK_DECODER.decode(await _read(reader))
+                _write(writer, self._decide(ask))
+        except (asyncio.IncompleteReadError, OSError):
+            # The asker has ended, or reached for another owner.
+            pass
+        except (ValueError, msgspec.DecodeError) as error:
+            _log.warning("ask_rejected", detail=str(error))
+        finally:
+            writer.close()
+
+    def close(self) -> None:
+        """Let go of all connections."""
+        for task in self._tasks:
+            task.cancel()
+
+
+class OwnerConnection:
+    """Asks to one owner; a lost connection is made again by the next ask."""
+
+    def __init__(self, host: str, port: int, clock: Clock) -> None:
+        self._host = host
+        self._port = port
+        self._clock = clock
+        self._numbers = itertools.count()
+        self._open: dict[int, asyncio.Future[Grant | None]] = {}
+        self._unsent: list[Ask] = []
+        self._writer: asyncio.StreamWriter | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._heard_ms = clock.now_ms()
+
+    async def ask(self, organisation: str) -> Grant | None:
+        """Return the owner's answer, None when it is silent or gone."""
+        if self._task is None or self._task.done():
+            self._heard_ms = self._clock.now_ms()
+            self._task = asyncio.create_task(self._run())
+        ask = Ask(next(self._numbers), organisation)
+        future: asyncio.Future[Grant | None] = asyncio.get_running_loop().create_future()
+        self._open[ask.number] = future
+        if self._writer is None:
+            self._unsent.append(ask)
+        else:
+            _write(self._writer, ask)
+        try:
+            async with asyncio.timeout(_ASK_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            self._give_up_when_silent()
+            return None
+        finally:
+            self._open.pop(ask.number, None)
+
+    def close(self) -> None:
+        """Let go of the connection."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _give_up_when_silent(self) -> None:
+        if self._clock.now_ms() - self._heard_ms >= _SILENT_AFTER_MS:
+            _log.info("rate_owner_unreachable", peer=f"{self._host}:{self._port}")
+            self.close()
+
+    async def _run(self) -> None:
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                reader, self._writer = await asyncio.open_connection(self._host, self._port)
+            for ask in self._unsent:
+                _write(self._writer, ask)
+            self._unsent.clear()
+            while True:
+                self._take(_GRANT_DECODER.decode(await _read(reader)))
+        except (TimeoutError, asyncio.IncompleteReadError, OSError, ValueError) as error:
+            _log.info("rate_owner_lost", peer=f"{self._host}:{self._port}", detail=repr(error))
+        finally:
+            self._end()
+
+    def _take(self, grant: Grant) -> None:
+        self._heard_ms = self._clock.now_ms()
+        future = self._open.get(grant.number)
+        if future is not None and not future.done():
+            future.set_result(grant)
+
+    def _end(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+            self._writer = None
+        self._unsent.clear()
+        for future in self._open.values():
+            if not future.done():
+                future.set_result(None)
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -34,6 +34,7 @@
 from waxwingshelf.serving.upstream import UpstreamClient
 from waxwingshelf.steering.config import CallerLimits
 from waxwingshelf.steering.fleet import Fleet
+from waxwingshelf.steering.owners import RateOwners
 from waxwingshelf.steering.placement import Locality
 
 __all__ = ["Instance", "run_instance"]
@@ -82,7 +83,8 @@
         self._metrics = metrics = Metrics()
         self._fleet = Fleet(settings.name, clock.now_ms(), settings.region)
         self._beliefs = Beliefs(clock, self._fleet)
-        self._demand = Demand(clock, self._fleet, settings.bounds.rate_slack)
+        owners = RateOwners(settings.name, settings.region)
+        self._demand = Demand(clock, self._fleet, owners, settings.bounds.rate_slack)
         self._upstream = UpstreamClient()
         self._link = PeerLink(settings, self._fleet, self._beliefs, self._demand, clock, metrics)
         locality = _find_locality(settings)
@@ -91,7 +93,9 @@
         )
         regions = frozenset(settings.regions.values())
         self._dispatcher = Dispatcher(self._beliefs, services, self._upstream, clock, metrics)
-        rates = RateDesk(self._demand, self._fleet, self._beliefs, self._link, clock)
+        self._rates = rates = RateDesk(
+            self._demand, self._fleet, owners, self._beliefs, self._link, clock
+        )
         self._requests = RequestPath(
             self._beliefs, services, self._dispatcher, rates, clock, metrics, regions
         )
@@ -138,6 +142,7 @@
             asyncio.create_task(feed.register()),
             asyncio.create_task(self._link.run()),
             asyncio.create_task(self._link.run_loads()),
+            asyncio.create_task(self._rates.run()),
             asyncio.create_task(self._become_ready()),
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._dispatcher.run()),
@@ -169,6 +174,7 @@
         server = _build_server(self._doors.handle, _CALLER_KEEPALIVE_S)
         for endpoint in doors:
             await self._listen(endpoint, server)
+        self._servers.append(await self._rates.listen())
 
     async def _listen(self, endpoint: Endpoint, factory: Callable[[], asyncio.Protocol]) -> None:
         loop = asyncio.get_running_loop()
@@ -236,6 +242,7 @@
         deregistration.cancel()
 
     async def _close(self, session: aiohttp.ClientSession) -> None:
+        self._rates.close()
         await self._upstream.close()
         await self._link.close()
         await session.close()
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -109,6 +109,8 @@
             beat_port=settings.peer_ports[0],
             state_port=settings.peer_state.port,
             caller_address=str(settings.callers),
+            rate_port=settings.peer_ports[1],
+            link_mbps=settings.link_mbps,
         )
 
     async def open(self) -> None:
@@ -146,20 +148,18 @@
         """Tell all of the region at once that there is something new to read here."""
         if self._fleet.is_large():
             data = self._build_beat()
-            for address in self._fleet.list_near():
+            for address in self._fleet.list_region(self.address.region):
                 self.send_to(address, data)
 
     def _build_beat(self) -> bytes:
         self._number += 1
-        rates = self._demand.list_rates()
         beat = Beat(
             self.address,
             self._boot,
             self._number,
             self.ready,
             self._beliefs.mirror.as_of,
-            rates,
-            self._fleet.sum_region(rates) if self._fleet.is_large() else {},
+            {} if self._fleet.is_large() else self._demand.list_rates(),
             self.is_watching(),
         )
         return _BEAT_MARK + msgspec.msgpack.encode(beat)
--- a/src/waxwingshelf/serving/rates.py
+++ b/src/waxwingshelf/serving/rates.py
@@ -2,14 +2,14 @@
 
 In a small fleet each instance keeps a part of the rate by itself. In a large one a part would be
 less than a token a second, so one instance of each region keeps the region's part for all of them
-and is asked for each request, which costs a round trip within the region.
+and is asked for each request, which costs a round trip within the region. The owners tell each
+other what they are asked for; see `steering.owners`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
-from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
@@ -18,21 +18,21 @@
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.serving.beliefs import Beliefs
 from waxwingshelf.serving.demand import Demand
+from waxwingshelf.serving.grants import Ask, Grant, GrantServer, OwnerConnection
 from waxwingshelf.serving.peers import PeerLink
 from waxwingshelf.steering.config import OrganisationRule
 from waxwingshelf.steering.fleet import Fleet, PeerAddress
 from waxwingshelf.steering.limits import RateBucket
+from waxwingshelf.steering.owners import OwnerReport, RateOwners, list_panel, rank_owners
 
 __all__ = ["Admission", "RateDesk"]
 
-ASK_MARK = b"a"
-GRANT_MARK = b"g"
-# Datagrams are lost when a link is full; the owner knows an ask that comes again.
-_ASKS = 4
-_ASK_TIMEOUT_S = 0.05
-_GRANTS_KEPT = 4_096
+_REPORT_MARK = b"r"
+# The second one is asked when the first is silent. More would each keep a part of the rate.
+_OWNERS_ASKED = 2
 _SUSPECT_MS = 1_000
 _RETRY_MS = 200
+_REPORT_S = 0.25
 _log = structlog.get_logger("rates")
 
 
@@ -45,60 +45,61 @@
     bucket: RateBucket | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """Ask the owner for one token."""
-
-    name: str
-    number: int
-    organisation: str
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """The owner's answer."""
-
-    number: int
-    granted: bool
-    wait_ms: int
-
-
-_ASK_DECODER = msgspec.msgpack.Decoder(Ask)
-_GRANT_DECODER = msgspec.msgpack.Decoder(Grant)
+_REPORT_DECODER = msgspec.msgpack.Decoder(OwnerReport)
 
 
 class RateDesk:
     """Take tokens here or at the owner."""
 
     def __init__(
-        self, demand: Demand, fleet: Fleet, beliefs: Beliefs, link: PeerLink, clock: Clock
+        self,
+        demand: Demand,
+        fleet: Fleet,
+        owners: RateOwners,
+        beliefs: Beliefs,
+        link: PeerLink,
+        clock: Clock,
     ) -> None:
         self._demand = demand
         self._fleet = fleet
+        self._owners = owners
         self._beliefs = beliefs
         self._link = link
         self._clock = clock
-        # Numbers of an earlier life of this process must not meet answers that are kept.
-        self._numbers = itertools.count(clock.wall_ms())
-        self._open: dict[int, asyncio.Future[Grant]] = {}
+        self._boot = clock.wall_ms()
+        self._report_numbers = itertools.count()
+        self._panels: dict[str, list[PeerAddress]] = {}
+        self._connections: dict[PeerAddress, OwnerConnection] = {}
+        self._server = GrantServer(self._decide)
         self._suspects: dict[str, int] = {}
-        self._given: OrderedDict[tuple[str, int], Grant] = OrderedDict()
-        link.add_handler(ASK_MARK, self._take_ask)
-        link.add_handler(GRANT_MARK, self._take_grant)
+        link.add_handler(_REPORT_MARK, self._take_report)
+
+    async def run(self) -> None:
+        """Tell the other owners what this one is asked for, for ever."""
+        while True:
+            self._owners.forget_silent(self._clock.now_ms())
+            self._find_panels()
+            self._drop_connections()
+            if self._fleet.is_large():
+                self._report()
+            await asyncio.sleep(_REPORT_S)
 
     async def take(self, rule: OrganisationRule) -> Admission:
         """Take a token of an organisation's rate."""
         if not self._fleet.is_large():
             return self._take_here(rule)
-        owner = self._find_owner(rule.name)
-        if owner is None:
-            return self._take_here(rule)
-        grant = await self._ask(owner, rule.name)
-        if grant is None:
+        now_ms = self._clock.now_ms()
+        for owner in self._list_owners(rule.name):
+            if owner.name == self._link.address.name:
+                return self._take_here(rule)
+            if now_ms < self._suspects.get(owner.name, 0):
+                continue
+            grant = await self._ask(owner, rule.name)
+            if grant is not None:
+                return Admission(grant.granted, grant.wait_ms)
             self._suspects[owner.name] = self._clock.now_ms() + _SUSPECT_MS
             _log.info("rate_owner_silent", organisation=rule.name, peer=owner.name)
-            return Admission(self._demand.take_without_owner(rule), _RETRY_MS)
-        return Admission(grant.granted, grant.wait_ms)
+        return Admission(self._demand.take_without_owner(rule), _RETRY_MS)
 
     def _take_here(self, rule: OrganisationRule) -> Admission:
         bucket = self._demand.take(rule)
@@ -106,52 +107,96 @@
             return Admission(True, bucket=bucket)
         return Admission(False, self._demand.find_bucket(rule).find_wait_ms())
 
-    def _find_owner(self, organisation: str) -> PeerAddress | None:
-        """Return the owner in this region, None when it is this instance."""
-        now_ms = self._clock.now_ms()
-        suspects = {name for name, until_ms in self._suspects.items() if now_ms < until_ms}
-        return self._fleet.find_rate_owner(organisation, suspects, now_ms)
+    def _list_owners(self, organisation: str) -> list[PeerAddress]:
+        """Return the owner in this region, and who is asked when it is silent."""
+        region = self._link.address.region
+        # Those of the panel first; whoever is there when all of them are gone.
+        for group in (self._panels.get(region, []), self._list_region(region)):
+            candidates = [address for address in group if self._is_candidate(address)]
+            if candidates:
+                return rank_owners(organisation, candidates)[:_OWNERS_ASKED]
+        return [self._link.address]
+
+    def _owns(self, organisation: str) -> bool:
+        return self._list_owners(organisation)[0].name == self._link.address.name
+
+    def _is_candidate(self, address: PeerAddress) -> bool:
+        if address.name == self._link.address.name:
+            return self._link.ready
+        return self._fleet.can_ask(address.name, self._clock.now_ms())
+
+    def _list_region(self, region: str) -> list[PeerAddress]:
+        addresses = self._fleet.list_region(region)
+        if region == self._link.address.region:
+            addresses.append(self._link.address)
+        return addresses
+
+    def _find_panels(self) -> None:
+        for region in self._fleet.list_regions():
+            self._panels[region] = list_panel(self._list_region(region))
+
+    def _drop_connections(self) -> None:
+        """Let go of instances that are gone."""
+        for owner in list(self._connections):
+            if self._fleet.find_address(owner.name) != owner:
+                self._connections.pop(owner).close()
+
+    def _report(self) -> None:
+        demand = self._demand.list_rates()
+        config = self._beliefs.config
+        for organisation in config.organisations if config else ():
+            if organisation not in demand and self._owns(organisation):
+                demand[organisation] = 0.0
+        self._owners.note_told(demand)
+        if not demand:
+            return
+        own = self._link.address
+        number = next(self._report_numbers)
+        report = OwnerReport(own.name, own.region, self._boot, number, demand)
+        data = _REPORT_MARK + msgspec.msgpack.encode(report)
+        for address in self._list_other_owners(set(demand)):
+            self._link.send_to(address, data)
+
+    def _list_other_owners(self, organisations: set[str]) -> list[PeerAddress]:
+        """Return who owns these organisations elsewhere, or is asked for them too."""
+        others: dict[str, PeerAddress] = {}
+        for panel in self._panels.values():
+            for organisation in organisations:
+                for owner in rank_owners(organisation, panel)[:1]:
+                    others[owner.name] = owner
+        for name in self._owners.list_reporters(organisations):
+            address = self._fleet.find_address(name)
+            if address is not None:
+                others[name] = address
+        others.pop(self._link.address.name, None)
+        return list(others.values())
 
     async def _ask(self, owner: PeerAddress, organisation: str) -> Grant | None:
-        number = next(self._numbers)
-        future: asyncio.Future[Grant] = asyncio.get_running_loop().create_future()
-        self._open[number] = future
-        ask = Ask(self._link.address.name, number, organisation)
-        data = ASK_MARK + msgspec.msgpack.encode(ask)
-        try:
-            for _ in range(_ASKS):
-                self._link.send_to(owner, data)
-                done, _ = await asyncio.wait([future], timeout=_ASK_TIMEOUT_S)
-                if done:
-                    return future.result()
-            return None
-        finally:
-            del self._open[number]
-
-    def _take_ask(self, data: memoryview) -> None:
-        ask = _ASK_DECODER.decode(data)
-        given = self._given.get((ask.name, ask.number))
-        if given is None:
-            given = self._decide(ask)
-        asker = self._fleet.find_address(ask.name)
-        if asker is not None and given is not None:
-            self._link.send_to(asker, GRANT_MARK + msgspec.msgpack.encode(given))
-
-    def _decide(self, ask: Ask) -> Grant | None:
-        """Take a token for a new ask, and keep the answer for when it is asked again."""
+        connection = self._connections.get(owner)
+        if connection is None:
+            connection = OwnerConnection(owner.host, owner.rate_port, self._clock)
+            self._connections[owner] = connection
+        return await connection.ask(organisation)
+
+    def _take_report(self, data: memoryview) -> None:
+        self._owners.note_report(_REPORT_DECODER.decode(data), self._clock.now_ms())
+
+    def _decide(self, ask: Ask) -> Grant:
+        """Take a token for another instance; one that knows no such organisation grants none."""
         config = self._beliefs.config
         rule = config.organisations.get(ask.organisation) if config else None
         if rule is None:
-            return None
+            return Grant(ask.number, False, _RETRY_MS)
         admission = self._take_here(rule)
-        grant = Grant(ask.number, admission.granted, admission.wait_ms)
-        self._given[(ask.name, ask.number)] = grant
-        if len(self._given) > _GRANTS_KEPT:
-            self._given.popitem(last=False)
-        return grant
-
-    def _take_grant(self, data: memoryview) -> None:
-        grant = _GRANT_DECODER.decode(data)
-        future = self._open.get(grant.number)
-        if future is not None and not future.done():
-            future.set_result(grant)
+        return Grant(ask.number, admission.granted, admission.wait_ms)
+
+    async def listen(self) -> asyncio.Server:
+        """Take asks from other instances."""
+        address = self._link.address
+        return await asyncio.start_server(self._server.serve, address.host, address.rate_port)
+
+    def close(self) -> None:
+        """Let go of all connections."""
+        self._server.close()
+        for connection in self._connections.values():
+            connection.close()
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from waxwingshelf.core.hashing import hash_unit
+from waxwingshelf.steering.limits import divide_rate
 
 __all__ = ["Beat", "Fleet", "LoadBeat", "Peer", "PeerAddress"]
 
@@ -25,8 +26,6 @@
 _FORGET_DEMAND_AFTER_MS = 3_000
 _ISOLATED_AFTER_MS = 2_500
 _ISOLATED_PART = 0.8
-# An instance without demand keeps this part of an equal share, for its first requests.
-_IDLE_PART = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,14 +39,16 @@
     beat_port: int
     state_port: int
     caller_address: str
+    rate_port: int = 0
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Beat:
     """One heartbeat; demand is in requests a second by organisation.
 
-    `region_demand` is the sum over the sender's region, for those who seldom hear each of it;
-    `watching` tells that the sender follows the store itself.
+    In a large fleet the demand is left out: owners of rates tell each other. `watching` tells that
+    the sender follows the store itself.
     """
 
     address: PeerAddress
@@ -56,7 +57,6 @@
     ready: bool
     revision: int
     demand: dict[str, float]
-    region_demand: dict[str, float] = field(default_factory=dict)
     watching: bool = False
 
 
@@ -92,7 +92,6 @@
     def __init__(self, name: str, now_ms: int, region: str = "") -> None:
         self._name = name
         self._region = region
-        self._far_demand: dict[str, dict[str, float]] = {}
         self._peers: dict[str, Peer] = {}
         self._started_ms = now_ms
         self.store_seen_ms: int | None = None
@@ -113,8 +112,6 @@
         peer.demand = beat.demand
         peer.watching = beat.watching
         peer.heard_ms = now_ms
-        if peer.address.region != self._region:
-            self._far_demand[peer.address.region] = beat.region_demand
         return True
 
     def note_load_beat(self, beat: LoadBeat) -> bool:
@@ -179,34 +176,23 @@
             return True
         return not any(peer.watching for peer in near)
 
-    def list_near(self) -> list[PeerAddress]:
-        """Return the peers of this region."""
-        return [
-            peer.address for peer in self._peers.values() if peer.address.region == self._region
-        ]
+    def list_region(self, region: str) -> list[PeerAddress]:
+        """Return the known peers of a region."""
+        return [peer.address for peer in self._peers.values() if peer.address.region == region]
+
+    def list_regions(self) -> set[str]:
+        """Return the regions that have instances, this one's included."""
+        return {self._region, *(peer.address.region for peer in self._peers.values())}
 
     def find_address(self, name: str) -> PeerAddress | None:
         """Return where a peer is, None when it is not known."""
         peer = self._peers.get(name)
         return peer.address if peer is not None else None
 
-    def find_rate_owner(
-        self, organisation: str, excluded: set[str], now_ms: int
-    ) -> PeerAddress | None:
-        """Return the peer of this region that keeps an organisation's rate; None for itself."""
-        near = [
-            peer.address
-            for peer in self._peers.values()
-            if peer.address.region == self._region
-            and peer.ready
-            and peer.address.name not in excluded
-            and self.is_heard(peer, now_ms)
-        ]
-        best = max(near, key=lambda address: hash_unit(organisation, address.name), default=None)
-        if best is None:
-            return None
-        own = hash_unit(organisation, self._name)
-        return best if hash_unit(organisation, best.name) > own else None
+    def can_ask(self, name: str, now_ms: int) -> bool:
+        """Tell whether a peer is ready and heard."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.ready and self.is_heard(peer, now_ms)
 
     def is_large(self) -> bool:
         """Tell whether not everyone hears every heartbeat."""
@@ -247,42 +233,13 @@
         seen_ms = self.store_seen_ms if self.store_seen_ms is not None else self._started_ms
         return now_ms - seen_ms > _ISOLATED_AFTER_MS
 
-    def sum_region(self, own: dict[str, float]) -> dict[str, float]:
-        """Return the demand of this instance's region by organisation."""
-        sums = dict(own)
-        for peer in self._peers.values():
-            if peer.address.region == self._region:
-                for name, rate in peer.demand.items():
-                    sums[name] = round(sums.get(name, 0.0) + rate, 2)
-        return sums
-
-    def _count_regions(self) -> int:
-        regions = {peer.address.region for peer in self._peers.values()}
-        return len(regions | {self._region})
-
-    def _sum_known(self, organisation: str) -> float:
-        peers = self._peers.values()
-        if not self.is_large():
-            return sum(peer.demand.get(organisation, 0.0) for peer in peers)
-        near = sum(
-            peer.demand.get(organisation, 0.0)
-            for peer in peers
-            if peer.address.region == self._region
-        )
-        return near + sum(sums.get(organisation, 0.0) for sums in self._far_demand.values())
-
-    def find_share(self, organisation: str, own_demand: float, now_ms: int) -> float:
-        """Return this instance's part of an organisation's rate, between 0 and 1.
+    def find_share(self, organisation: str, own_demand: float, rate: float, now_ms: int) -> float:
+        """Return this instance's part of an organisation's rate in a small fleet, between 0 and 1.
 
         The parts of all instances follow their demand and sum to 1 when all know the same. A
         silent peer's last demand stays counted until the store confirms that it is gone.
         """
-        # In a large fleet one instance a region keeps the region's part.
-        count = self._count_regions() if self.is_large() else len(self._peers) + 1
-        total = self._sum_known(organisation) + own_demand
-        equal = 1.0 / count
-        if total <= 0:
-            return equal
-        followed = own_demand / total
-        share = (1.0 - _IDLE_PART) * followed + _IDLE_PART * equal
+        known = sum(peer.demand.get(organisation, 0.0) for peer in self._peers.values())
+        equal = 1.0 / (len(self._peers) + 1)
+        share = divide_rate(own_demand, known + own_demand, rate, equal)
         return share * _ISOLATED_PART if self.is_isolated(now_ms) else share
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -10,17 +10,34 @@
 
 from waxwingshelf.core.hashing import hash_unit
 
-__all__ = ["ColdAllotment", "RateBucket", "RetryBudget"]
+__all__ = ["ColdAllotment", "RateBucket", "RetryBudget", "divide_rate"]
 
 _MS_PER_S = 1_000
 # The parts of ratio and slack that are used: windows slide, and instances know of each other late.
 _RETRY_RATIO_PART = 0.6
 _RETRY_SLACK_PART = 0.6
+# At a rate that is used up, this part is still divided equally, for first requests.
+_LEAST_EQUAL_PART = 0.15
+# Of what is left of a rate, this part is divided equally and the rest by demand.
+_EQUAL_PART_OF_SPARE = 0.5
 _COLD_WINDOW_MS = 1_100
 _COLD_SENDS_PER_INSTANCE = 2
 _MOST_TARGETS = 1_000
 
 
+def divide_rate(own: float, total: float, rate: float, equal: float) -> float:
+    """Return the part of a rate for one of those who share it, between 0 and 1.
+
+    `own` and `total` are demands, `equal` is an equal part. The parts sum to 1 when all know the
+    same demands; the less of the rate is used, the more of it waits for demand that moves.
+    """
+    if total <= 0:
+        return equal
+    used = min(1.0, total / rate) if rate > 0 else 1.0
+    equal_part = max(_LEAST_EQUAL_PART, (1.0 - used) * _EQUAL_PART_OF_SPARE)
+    return (1.0 - equal_part) * own / total + equal_part * equal
+
+
 class RateBucket:
     """A token bucket over this instance's part of an organisation's rate and burst.
 
