Let the parts of an unused rate overlap, and share slack by who keeps parts

The parts of a small rate lag half a second behind demand that moves, and an owner's bucket got the slack of a 76th of the fleet although two a region keep parts. Ruled out: silence of owners (100 in 9 s, most of them later). Change: parts of an unused rate sum to as much as 1.25; slack is divided by the instances that may keep a part.

--- a/src/waxwingshelf/serving/demand.py
+++ b/src/waxwingshelf/serving/demand.py
@@ -9,7 +9,7 @@
 from waxwingshelf.steering.config import OrganisationRule
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import RateBucket
-from waxwingshelf.steering.owners import RateOwners
+from waxwingshelf.steering.owners import OWNERS_ASKED, RateOwners
 
 __all__ = ["Demand"]
 
@@ -68,7 +68,7 @@
         bucket = self._buckets.get(rule.name)
         if bucket is None:
             share = self._find_share(rule.name, rule.rate_per_s, now_ms)
-            slack = _SLACK_PART * self._rate_slack / len(self._fleet.list_names())
+            slack = _SLACK_PART * self._rate_slack / self._count_keepers()
             bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms, slack)
         elif self._rules[rule.name] != limits:
             bucket.set_rate(*limits, now_ms)
@@ -101,6 +101,12 @@
             return self._owners.find_share(name, own, rate_per_s, regions)
         return self._fleet.find_share(name, own, rate_per_s, now_ms)
 
+    def _count_keepers(self) -> int:
+        """Return how many instances may keep a part of a rate at the same time."""
+        if self._fleet.is_large():
+            return len(self._fleet.list_regions()) * OWNERS_ASKED
+        return len(self._fleet.list_names())
+
     def _drop_unknown(self, beliefs: Beliefs) -> None:
         if beliefs.config is None:
             return
--- a/src/waxwingshelf/serving/rates.py
+++ b/src/waxwingshelf/serving/rates.py
@@ -23,13 +23,17 @@
 from waxwingshelf.steering.config import OrganisationRule
 from waxwingshelf.steering.fleet import Fleet, PeerAddress
 from waxwingshelf.steering.limits import RateBucket
-from waxwingshelf.steering.owners import OwnerReport, RateOwners, list_panel, rank_owners
+from waxwingshelf.steering.owners import (
+    OWNERS_ASKED,
+    OwnerReport,
+    RateOwners,
+    list_panel,
+    rank_owners,
+)
 
 __all__ = ["Admission", "RateDesk"]
 
 _REPORT_MARK = b"r"
-# The second one is asked when the first is silent. More would each keep a part of the rate.
-_OWNERS_ASKED = 2
 _SUSPECT_MS = 1_000
 _RETRY_MS = 200
 _REPORT_S = 0.25
@@ -114,7 +118,7 @@
         for group in (self._panels.get(region, []), self._list_region(region)):
             candidates = [address for address in group if self._is_candidate(address)]
             if candidates:
-                return rank_owners(organisation, candidates)[:_OWNERS_ASKED]
+                return rank_owners(organisation, candidates)[:OWNERS_ASKED]
         return [self._link.address]
 
     def _owns(self, organisation: str) -> bool:
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -20,6 +20,9 @@
 _LEAST_EQUAL_PART = 0.15
 # Of what is left of a rate, this part is divided equally and the rest by demand.
 _EQUAL_PART_OF_SPARE = 0.5
+# The parts of an unused rate sum to more than 1 by this much: what one admits too much before the
+# others know of new demand stays within a few tenths of a second of the rate.
+_SPARE_OVERLAP = 0.25
 _COLD_WINDOW_MS = 1_100
 _COLD_SENDS_PER_INSTANCE = 2
 _MOST_TARGETS = 1_000
@@ -28,14 +31,16 @@
 def divide_rate(own: float, total: float, rate: float, equal: float) -> float:
     """Return the part of a rate for one of those who share it, between 0 and 1.
 
-    `own` and `total` are demands, `equal` is an equal part. The parts sum to 1 when all know the
-    same demands; the less of the rate is used, the more of it waits for demand that moves.
+    `own` and `total` are demands, `equal` is an equal part. The parts of a rate that is used up sum
+    to 1 when all know the same demands; the less of it is used, the more waits for demand that
+    moves, and the more the parts overlap.
     """
-    if total <= 0:
-        return equal
     used = min(1.0, total / rate) if rate > 0 else 1.0
+    overlap = 1.0 + (1.0 - used) * _SPARE_OVERLAP
+    if total <= 0:
+        return equal * overlap
     equal_part = max(_LEAST_EQUAL_PART, (1.0 - used) * _EQUAL_PART_OF_SPARE)
-    return (1.0 - equal_part) * own / total + equal_part * equal
+    return ((1.0 - equal_part) * own / total + equal_part * equal) * overlap
 
 
 class RateBucket:
--- a/src/waxwingshelf/steering/owners.py
+++ b/src/waxwingshelf/steering/owners.py
@@ -14,8 +14,10 @@
 from waxwingshelf.steering.fleet import PeerAddress
 from waxwingshelf.steering.limits import divide_rate
 
-__all__ = ["OwnerReport", "RateOwners", "list_panel", "rank_owners"]
+__all__ = ["OWNERS_ASKED", "OwnerReport", "RateOwners", "list_panel", "rank_owners"]
 
+# The second is asked when the first is silent. More would each keep a part of the rate.
+OWNERS_ASKED = 2
 # More owners would spread the load further, and cost as many more reports between regions.
 _PANEL_SIZE = 8
 # A machine with a much smaller link than another loses datagrams when callers upload.
