Refuse at once what will not get room before its time is over

Change: the line knows how fast late requests get room, hopes for all room at first and for half of it with each second's worth of room that goes to others, and refuses a late request whose place in the line needs longer than it has. Retry-After says when room is expected.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -29,6 +29,7 @@
 __all__ = ["Dispatcher", "Exchange", "pick_return_ms"]
 
 _RETURN_MS = (150, 450)
+_MOST_RETURN_MS = 1_200
 _FAILED_STATUS = 500
 _POLL_S = 0.02
 _ENDS = {
@@ -109,6 +110,7 @@
         if not line:
             send = self._place(exchange)
             if send is not None:
+                line.note_room(exchange.allowed_regions, False, exchange.ready_ms)
                 return send
         usable = self._beliefs.book.list_usable(exchange.service)
         if not usable:
@@ -120,6 +122,7 @@
             exchange.priority,
             exchange.aim_at_ms - int(durations.warm_ms),
             exchange.deadline_ms - int(durations.warm_ms),
+            exchange.allowed_regions,
         )
         if not line.add(waiter):
             return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
@@ -132,7 +135,8 @@
                 self._services.close_send(given)
             raise
         if send is None:
-            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, f"{len(line)} wait")
+            detail = f"{len(line)} wait"
+            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, detail, waiter.room_in_ms)
         return send
 
     def _serve_line(self, service: str) -> None:
@@ -148,6 +152,7 @@
         """Try a request that has just joined the line."""
         if self._place_waiter(waiter):
             line.remove(waiter)
+            line.note_room(waiter.group, False, self._clock.now_ms())
 
     def _place_waiter(self, waiter: Waiter[_Waiting]) -> bool:
         exchange, future = waiter.item
@@ -216,9 +221,14 @@
         return _settle(exchange, _refuse(exchange, reason, Step.SEND, f"{kind}: {detail}"))
 
 
-def pick_return_ms() -> int:
-    """Return when a refused caller may come back, spread so that a burst does not."""
-    return _rng.randint(*_RETURN_MS)
+def pick_return_ms(room_in_ms: int = 0) -> int:
+    """Return when a refused caller may come back, spread so that a burst does not.
+
+    Room that is expected later than usual is waited for in part: it may come sooner.
+    """
+    least_ms, most_ms = _RETURN_MS
+    most_ms = max(most_ms, min(room_in_ms, _MOST_RETURN_MS))
+    return _rng.randint(max(least_ms, most_ms // 3), most_ms)
 
 
 def _give(future: asyncio.Future[Send | None], send: Send | None) -> None:
@@ -244,7 +254,8 @@
     return _refuse(exchange, RefusalReason.TIMEOUT_BEFORE_SEND, Step.PLACE, "")
 
 
-def _refuse(exchange: Exchange, reason: RefusalReason, step: Step, detail: str) -> Refusal:
-    return Refusal(
-        reason, step, exchange.peer, detail, exchange.attempts.maybe_run, pick_return_ms()
-    )
+def _refuse(
+    exchange: Exchange, reason: RefusalReason, step: Step, detail: str, room_in_ms: int = 0
+) -> Refusal:
+    return_ms = pick_return_ms(room_in_ms)
+    return Refusal(reason, step, exchange.peer, detail, exchange.attempts.maybe_run, return_ms)
