Follow the fleet's size in retry budgets; fade slowness in one place

Cause: a retry budget kept the number of instances that its first request knew of. One that serves before it knows of the others kept the whole slack, and eight such ones eight times the slack (listed as left over). Change: the budget follows the number of instances. The fading of slowness stood twice; a beat asked twice who follows the store, which hashes the names of a region, and now asks only when the sender knows more.

--- a/src/waxwingshelf/serving/demand.py
+++ b/src/waxwingshelf/serving/demand.py
@@ -54,7 +54,7 @@
         now_ms = self._clock.now_ms()
         bucket = self._spare.get(rule.name)
         if bucket is None:
-            part = _SPARE_PART / len(self._fleet.list_names())
+            part = _SPARE_PART / self._fleet.count_instances()
             bucket = RateBucket(rule.rate_per_s, rule.burst, part, now_ms)
             self._spare[rule.name] = bucket
         else:
@@ -105,7 +105,7 @@
         """Return how many instances may keep a part of a rate at the same time."""
         if self._fleet.is_large():
             return len(self._fleet.list_regions()) * OWNERS_ASKED
-        return len(self._fleet.list_names())
+        return self._fleet.count_instances()
 
     def _drop_unknown(self, beliefs: Beliefs) -> None:
         if beliefs.config is None:
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -195,7 +195,8 @@
         now_ms = self._clock.now_ms()
         beat = _BEAT_DECODER.decode(data)
         known = self._fleet.note_beat(beat, now_ms)
-        if known and not self._fleet.needs_own_watch(now_ms):
+        # In a small fleet the regular turn is soon enough, as everyone watches the store.
+        if known and self._fleet.is_large() and beat.revision > self._beliefs.mirror.as_of:
             self._catch_up()
 
     def _take_loads(self, data: memoryview) -> None:
--- a/src/waxwingshelf/serving/services.py
+++ b/src/waxwingshelf/serving/services.py
@@ -128,8 +128,9 @@
 
     def _find_retries(self, service: str) -> RetryBudget:
         budget = self._retries.get(service)
+        instances = self._fleet.count_instances()
         if budget is None:
-            instances = len(self._fleet.list_names())
             budget = RetryBudget(self._bounds.retry_ratio, self._bounds.retry_slack, instances)
             self._retries[service] = budget
+        budget.follow_instances(instances)
         return budget
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -225,6 +225,10 @@
         """Return every instance that may be running, this one included."""
         return [self._name, *self._peers]
 
+    def count_instances(self) -> int:
+        """Return how many instances may be running, this one included."""
+        return len(self._peers) + 1
+
     def is_isolated(self, now_ms: int) -> bool:
         """Tell whether others may have confirmed, wrongly, that this instance is gone."""
         heard = sum(self.is_heard(peer, now_ms) for peer in self._peers.values())
@@ -240,6 +244,6 @@
         silent peer's last demand stays counted until the store confirms that it is gone.
         """
         known = sum(peer.demand.get(organisation, 0.0) for peer in self._peers.values())
-        equal = 1.0 / (len(self._peers) + 1)
+        equal = 1.0 / self.count_instances()
         share = divide_rate(own_demand, known + own_demand, rate, equal)
         return share * _ISOLATED_PART if self.is_isolated(now_ms) else share
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -109,15 +109,26 @@
 
 
 class RetryBudget:
-    """Allow repeats in proportion to this instance's requests of a service."""
+    """Allow repeats in proportion to this instance's requests of a service.
 
-    __slots__ = ("_limit", "_ratio", "_tokens")
+    What may be saved is this instance's part of the slack, which shrinks when others join.
+    """
+
+    __slots__ = ("_limit", "_ratio", "_slack", "_tokens")
 
     def __init__(self, ratio: float, slack: float, instances: int) -> None:
         self._ratio = ratio * _RETRY_RATIO_PART
-        self._limit = max(1.0, slack * _RETRY_SLACK_PART / max(1, instances))
+        self._slack = slack * _RETRY_SLACK_PART
+        self._limit = 0.0
+        self._tokens = 0.0
+        self.follow_instances(instances)
         self._tokens = self._limit
 
+    def follow_instances(self, instances: int) -> None:
+        """Take in how many instances share the slack; what was saved beyond it is dropped."""
+        self._limit = max(1.0, self._slack / max(1, instances))
+        self._tokens = min(self._tokens, self._limit)
+
     def note_request(self) -> None:
         """Count a first attempt."""
         self._tokens = min(self._limit, self._tokens + self._ratio)
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -106,13 +106,16 @@
 
         A request that is still open counts with its age, so that a silent target shows early.
         """
-        faded = _fade(now_ms - self.slowness_at_ms, _SLOWNESS_HALF_LIFE_MS)
-        slowness = 1.0 + (self.slowness - 1.0) * faded
+        slowness = self._find_faded_slowness(now_ms)
         if self.in_flight:
             oldest_ms = now_ms - next(iter(self.in_flight.values()))
             slowness = max(slowness, oldest_ms / typical_ms / 2)
         return slowness
 
+    def _find_faded_slowness(self, now_ms: int) -> float:
+        faded = _fade(now_ms - self.slowness_at_ms, _SLOWNESS_HALF_LIFE_MS)
+        return 1.0 + (self.slowness - 1.0) * faded
+
     def is_warm_for(self, key: str, now_ms: int) -> bool:
         """Tell whether this instance sent the object here lately."""
         sent_ms = self.warm.get(key)
@@ -132,8 +135,7 @@
 
     def note_duration(self, ratio: float, now_ms: int) -> None:
         """Move the slowness by one answer that took `ratio` times the typical time."""
-        faded = _fade(now_ms - self.slowness_at_ms, _SLOWNESS_HALF_LIFE_MS)
-        slowness = 1.0 + (self.slowness - 1.0) * faded
+        slowness = self._find_faded_slowness(now_ms)
         self.slowness = slowness + _OUTCOME_WEIGHT * (ratio - slowness)
         self.slowness_at_ms = now_ms
 
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -176,3 +176,13 @@
     for start in range(0, 2_000, 50):
         assert sum(start <= moment < start + SECOND_MS for moment in sends) <= bound
     assert sends
+
+
+def test_the_slack_of_retries_is_shared_with_instances_that_join() -> None:
+    """Replay of an instance that serves before it knows of the others."""
+    budget = RetryBudget(0.2, 56.0, 1)
+    budget.follow_instances(8)
+    taken = 0
+    while budget.take():
+        taken += 1
+    assert taken * 8 <= 56
