--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -161,7 +161,6 @@
         caller_ms = parse_deadline(request.headers)
         if caller_ms is None:
             caller_ms = _DEFAULT_DEADLINE_MS
-        elapsed_ms = self._services.find_elapsed_ms(route, caller_ms)
         wait_ms = min(caller_ms - _DEADLINE_MARGIN_MS, route.timeout_ms)
         return Exchange(
             id=request_id,
@@ -170,7 +169,7 @@
             object_key=object_key,
             priority=find_priority(route, organisation),
             ready_ms=started_ms,
-            aim_at_ms=started_ms + route.aim_ms - elapsed_ms,
+            aim_at_ms=started_ms + route.aim_ms,
             deadline_ms=started_ms + wait_ms,
             allowed_regions=find_allowed_regions(route, organisation, self.regions),
             outgoing=OutgoingRequest(request.method, request.raw_path, headers, None, request_id),
--- a/src/waxwingshelf/serving/services.py
+++ b/src/waxwingshelf/serving/services.py
@@ -10,7 +10,6 @@
 from waxwingshelf.serving.beliefs import Beliefs
 from waxwingshelf.serving.upstream import Answered, FailureKind, SendFailure
 from waxwingshelf.steering.config import RouteRule
-from waxwingshelf.steering.deadlines import UsualDeadlines
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdAllotment, RetryBudget
@@ -53,7 +52,6 @@
         self._cold = ColdAllotment(name)
         self._retries: dict[str, RetryBudget] = {}
         self._durations: dict[str, RouteDurations] = {}
-        self._deadlines: dict[str, UsualDeadlines] = {}
         self._numbers = itertools.count()
         self.placer = Placer(locality, beliefs.book)
 
@@ -78,10 +76,6 @@
             durations = self._durations[route.name] = RouteDurations(route.aim_ms)
         return durations
 
-    def find_elapsed_ms(self, route: RouteRule, deadline_ms: int) -> int:
-        """Return how long the caller has tried already, judged by its deadline."""
-        return self._deadlines.setdefault(route.name, UsualDeadlines()).find_elapsed_ms(deadline_ms)
-
     def may_send(self, state: TargetState, now_ms: int) -> bool:
         """Tell whether the target may get a request now; a cold one's allotment is used up."""
         if not state.is_cold(now_ms):
