Wait for an answer that is on its way when the target's time is over

The target got all the time that was left, and its answer takes as long back as the request took there. Ruled out: slow targets; they stop at the deadline that they are given. Change: the instance waits 120 ms longer than the time that it gives the target. The test fails before the change.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -32,6 +32,8 @@
 _MOST_RETURN_MS = 1_200
 _FAILED_STATUS = 500
 _POLL_S = 0.02
+# An answer of the last moment is still on its way when the target's time is over.
+_ANSWER_TRAVEL_MS = 120
 _ENDS = {
     FailureKind.NOT_CONNECTED: AttemptEnd.NOT_CONNECTED,
     FailureKind.SHED: AttemptEnd.NOT_RUN,
@@ -188,7 +190,7 @@
         exchange.attempts.note_send()
         exchange.send = send
         try:
-            result = await self._upstream.send(target, outgoing, timeout_ms)
+            result = await self._upstream.send(target, outgoing, timeout_ms + _ANSWER_TRAVEL_MS)
         finally:
             self._services.close_send(send)
             self._serve_line(exchange.service)
--- a/tests/serving/test_path.py
+++ b/tests/serving/test_path.py
@@ -130,6 +130,19 @@
     play(scenario)
 
 
+def test_an_answer_that_was_made_in_time_is_delivered(play) -> None:
+    """Replay of a far target that answers just before its time is over: callers got 504."""
+
+    async def scenario(site) -> None:
+        await site.add_target("t1", work_s=1.03)
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        answer = await site.call("/order/x", method="POST")
+        assert answer.status == 200
+
+    play(scenario)
+
+
 def test_a_caller_that_leaves_cancels_the_work(play) -> None:
     async def scenario(site) -> None:
         target = await site.add_target("t1", work_s=30.0)
