Answer before the caller's own deadline, however long answers travel

Found by reading. Change: a request knows by when its answer has to be here: the route's timeout and the time for travel, or the caller's deadline, whichever is first.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -32,8 +32,6 @@
 _MOST_RETURN_MS = 1_200
 _FAILED_STATUS = 500
 _POLL_S = 0.02
-# An answer of the last moment is still on its way when the target's time is over.
-_ANSWER_TRAVEL_MS = 120
 _ENDS = {
     FailureKind.NOT_CONNECTED: AttemptEnd.NOT_CONNECTED,
     FailureKind.SHED: AttemptEnd.NOT_RUN,
@@ -46,7 +44,10 @@
 
 @dataclass(slots=True)
 class Exchange:
-    """One request on its way; `ready_ms` and the like are clock readings."""
+    """One request on its way; `ready_ms` and the like are clock readings.
+
+    `deadline_ms` is when a target has to be done, `answer_by_ms` when its answer has to be here.
+    """
 
     id: str
     route: RouteRule
@@ -56,6 +57,7 @@
     ready_ms: int
     aim_at_ms: int
     deadline_ms: int
+    answer_by_ms: int
     allowed_regions: frozenset[str]
     outgoing: OutgoingRequest
     attempts: Attempts
@@ -190,7 +192,8 @@
         exchange.attempts.note_send()
         exchange.send = send
         try:
-            result = await self._upstream.send(target, outgoing, timeout_ms + _ANSWER_TRAVEL_MS)
+            patience_ms = max(1, exchange.answer_by_ms - self._clock.now_ms())
+            result = await self._upstream.send(target, outgoing, patience_ms)
         finally:
             self._services.close_send(send)
             self._serve_line(exchange.service)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -42,6 +42,8 @@
 _DEFAULT_DEADLINE_MS = 30_000
 # Answers must reach the caller before it gives up.
 _DEADLINE_MARGIN_MS = 15
+# An answer of the last moment is still on its way when the target's time is over.
+_ANSWER_TRAVEL_MS = 120
 _CONFIG_WAIT_S = 0.4
 _MS_PER_S = 1_000
 _NOT_RUN_STATUSES = (429, 503)
@@ -161,7 +163,7 @@
         caller_ms = parse_deadline(request.headers)
         if caller_ms is None:
             caller_ms = _DEFAULT_DEADLINE_MS
-        wait_ms = min(caller_ms - _DEADLINE_MARGIN_MS, route.timeout_ms)
+        caller_ms -= _DEADLINE_MARGIN_MS
         return Exchange(
             id=request_id,
             route=route,
@@ -170,7 +172,8 @@
             priority=find_priority(route, organisation),
             ready_ms=started_ms,
             aim_at_ms=started_ms + route.aim_ms,
-            deadline_ms=started_ms + wait_ms,
+            deadline_ms=started_ms + min(caller_ms, route.timeout_ms),
+            answer_by_ms=started_ms + min(caller_ms, route.timeout_ms + _ANSWER_TRAVEL_MS),
             allowed_regions=find_allowed_regions(route, organisation, self.regions),
             outgoing=OutgoingRequest(request.method, request.raw_path, headers, None, request_id),
             attempts=Attempts(route.idempotent, route.attempts),
