--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -9,7 +9,7 @@
 import structlog
 
 from waxwingshelf.core.clock import Clock
-from waxwingshelf.platform.names import DEADLINE_HEADER, TARGET_HEADER
+from waxwingshelf.platform.names import DEADLINE_HEADER, ORGANISATION_HEADER, TARGET_HEADER
 from waxwingshelf.serving.beliefs import Beliefs
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.services import Send, Services
@@ -23,7 +23,7 @@
 from waxwingshelf.steering.attempts import AttemptEnd, Attempts, NextStep
 from waxwingshelf.steering.config import RouteRule
 from waxwingshelf.steering.placement import PlacementRequest
-from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
+from waxwingshelf.steering.refusals import Refusal, RefusalReason, RefusedRequest, Step
 from waxwingshelf.steering.waiting import Waiter, WaitingLine
 
 __all__ = ["Dispatcher", "Exchange", "pick_return_ms"]
@@ -262,5 +262,27 @@
 def _refuse(
     exchange: Exchange, reason: RefusalReason, step: Step, detail: str, room_in_ms: int = 0
 ) -> Refusal:
-    return_ms = pick_return_ms(room_in_ms)
-    return Refusal(reason, step, exchange.peer, detail, exchange.attempts.maybe_run, return_ms)
+    return Refusal(
+        reason,
+        step,
+        exchange.peer,
+        detail,
+        exchange.attempts.maybe_run,
+        pick_return_ms(room_in_ms),
+        _describe(exchange),
+    )
+
+
+def _describe(exchange: Exchange) -> RefusedRequest:
+    route, send = exchange.route, exchange.send
+    return RefusedRequest(
+        route=route.name,
+        service=exchange.service,
+        organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
+        regions=tuple(sorted(exchange.allowed_regions)),
+        time_ms=exchange.deadline_ms - (exchange.aim_at_ms - route.aim_ms),
+        sends=exchange.attempts.sends,
+        waited_ms=send.sent_ms - exchange.ready_ms if send else 0,
+        load=send.placement.load if send else 0,
+        slots=send.state.target.slots if send else 0,
+    )
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from dataclasses import asdict
 
 import structlog
 from aiohttp import web
@@ -206,6 +207,7 @@
             maybe_run=refusal.maybe_run,
             retry_after_ms=refusal.retry_after_ms,
             elapsed_ms=self._clock.now_ms() - started_ms,
+            **(asdict(refusal.request) if refusal.request else {}),
         )
         headers = {REQUEST_ID_HEADER: request_id} if request_id else {}
         if refusal.status in _NOT_RUN_STATUSES and refusal.retry_after_ms > 0:
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Refusal", "RefusalReason", "Step"]
+__all__ = ["Refusal", "RefusalReason", "RefusedRequest", "Step"]
 
 
 class Step(StrEnum):
@@ -60,6 +60,24 @@
 _NOT_RUN_STATUSES = frozenset({429, 503})
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedRequest:
+    """What a refusal was decided on; `load`, `slots` and `waited_ms` are of the last send.
+
+    `time_ms` is what the request had in all, `regions` those that it may run in, none for any.
+    """
+
+    route: str
+    service: str
+    organisation: str
+    regions: tuple[str, ...]
+    time_ms: int
+    sends: int = 0
+    waited_ms: int = 0
+    load: int = 0
+    slots: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """A final answer of our own; `maybe_run` tells that a target may have run the request."""
@@ -70,6 +88,7 @@
     detail: str = ""
     maybe_run: bool = False
     retry_after_ms: int = 0
+    request: RefusedRequest | None = None
 
     @property
     def status(self) -> int:
--- a/tests/serving/test_path.py
+++ b/tests/serving/test_path.py
@@ -6,6 +6,7 @@
 
 from standins.platform_store import StoreFault
 from standins.platform_target import Answering
+from waxwingshelf.serving import requests
 
 
 def test_a_request_reaches_its_target_unchanged_and_without_the_key(play) -> None:
@@ -130,6 +131,28 @@
     play(scenario)
 
 
+def test_a_refusal_names_what_it_was_decided_on(play, monkeypatch) -> None:
+    lines = []
+
+    def keep(event, **fields) -> None:
+        lines.append((event, fields))
+
+    monkeypatch.setattr(requests._log, "info", keep)
+
+    async def scenario(site) -> None:
+        await site.add_target("t1", work_s=30.0)
+        await site.start_instance("n0")
+        await site.until_ready("n0")
+        await site.call("/read/x")
+        (fields,) = [fields for event, fields in lines if event == "refused"]
+        expected = {"route": "read", "service": "work", "organisation": "acme", "sends": 1}
+        assert expected.items() <= fields.items()
+        assert fields["time_ms"] == 1_000
+        assert fields["slots"] > 0
+
+    play(scenario)
+
+
 def test_an_answer_that_was_made_in_time_is_delivered(play) -> None:
     """Replay of a far target that answers just before its time is over: callers got 504."""
 
