Call the regions of a route's homes homes inside

Cause: steering used a field name of the platform. Change: only the adapter knows it, and the boundary test says so; the owners of rates join the decisions that the adapter may not import. Before and after: names alone; lint and the tests of steering and platform.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -245,7 +245,7 @@
         priority=rule.priority or 0,
         public=bool(rule.public),
         sticky=bool(rule.sticky),
-        home_regions=frozenset(action.home_regions or ()),
+        homes=frozenset(action.home_regions or ()),
     )
 
 
@@ -266,5 +266,5 @@
         priority=entry.priority,
         rate_per_s=entry.rate_per_s or 0.0,
         burst=entry.burst or 0.0,
-        home_regions=frozenset(entry.home_regions or ()),
+        homes=frozenset(entry.home_regions or ()),
     )
--- a/src/waxwingshelf/steering/config.py
+++ b/src/waxwingshelf/steering/config.py
@@ -37,7 +37,7 @@
     """Where requests of one host and path prefix go.
 
     `attempts` bounds the targets that one request may be sent to; `timeout_ms` bounds the time
-    until the caller has its answer; an empty `home_regions` allows every region.
+    until the caller has its answer; an empty `homes` allows every region.
     """
 
     name: str
@@ -51,7 +51,7 @@
     priority: int
     public: bool = False
     sticky: bool = False
-    home_regions: frozenset[str] = frozenset()
+    homes: frozenset[str] = frozenset()
 
     @property
     def idempotent(self) -> bool:
@@ -79,7 +79,7 @@
     priority: int | None
     rate_per_s: float
     burst: float
-    home_regions: frozenset[str] = frozenset()
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingshelf/steering/routes.py
+++ b/src/waxwingshelf/steering/routes.py
@@ -51,9 +51,9 @@
     route: RouteRule, organisation: OrganisationRule | None, regions: frozenset[str]
 ) -> frozenset[str]:
     """Return the regions that the homes of both allow; empty when neither names one."""
-    homes = [route.home_regions]
+    homes = [route.homes]
     if organisation is not None:
-        homes.append(organisation.home_regions)
+        homes.append(organisation.homes)
     named = [home for home in homes if home]
     if not named:
         return frozenset()
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -29,13 +29,23 @@
     "path_prefix",
     "listeners",
     "clusters",
+    "home_regions",
 )
 FORBIDDEN = {
     "steering": ("asyncio", "aiohttp", "waxwingshelf.platform", "waxwingshelf.serving"),
     "platform": ("waxwingshelf.serving", "waxwingshelf.program", "waxwingshelf.adapters"),
     "core": ("waxwingshelf.steering", "waxwingshelf.platform", "waxwingshelf.serving"),
 }
-DECISIONS = ("placement", "waiting", "limits", "attempts", "directory", "durations", "routes")
+DECISIONS = (
+    "placement",
+    "waiting",
+    "limits",
+    "attempts",
+    "directory",
+    "durations",
+    "routes",
+    "owners",
+)
 
 
 def test_no_other_module_knows_a_name_of_the_platform() -> None:
--- a/tests/steering/test_routes.py
+++ b/tests/steering/test_routes.py
@@ -73,10 +73,10 @@
 
 def test_homes_of_route_and_organisation_both_bind() -> None:
     organisation = OrganisationRule("o", (), None, 0, 0, frozenset({"north", "south"}))
-    route = make_route(home_regions=frozenset({"south", "west"}))
+    route = make_route(homes=frozenset({"south", "west"}))
     assert find_allowed_regions(route, organisation, REGIONS) == {"south"}
     assert find_allowed_regions(make_route(), None, REGIONS) == frozenset()
-    apart = make_route(home_regions=frozenset({"west"}))
+    apart = make_route(homes=frozenset({"west"}))
     assert not find_allowed_regions(apart, organisation, REGIONS) & REGIONS
 
 
