Cap a lone instance's part of a rate; keep a connection after one slow answer

Cause: found by reading: with parts that overlap, an instance alone took 1.25 of a rate; and an owner's connection that had rested for 600 ms was given up at the first answer that took over 200 ms, with all other asks on it. Change: a part is at most the whole; silence counts from the first ask that is unanswered. Before and after: a test for each fails before the change.

--- a/src/waxwingshelf/serving/grants.py
+++ b/src/waxwingshelf/serving/grants.py
@@ -102,13 +102,14 @@
         self._unsent: list[Ask] = []
         self._writer: asyncio.StreamWriter | None = None
         self._task: asyncio.Task[None] | None = None
-        self._heard_ms = clock.now_ms()
+        self._unanswered_since_ms: int | None = None
 
     async def ask(self, organisation: str) -> Grant | None:
         """Return the owner's answer, None when it is silent or gone."""
         if self._task is None or self._task.done():
-            self._heard_ms = self._clock.now_ms()
             self._task = asyncio.create_task(self._run())
+        if self._unanswered_since_ms is None:
+            self._unanswered_since_ms = self._clock.now_ms()
         ask = Ask(next(self._numbers), organisation)
         future: asyncio.Future[Grant | None] = asyncio.get_running_loop().create_future()
         self._open[ask.number] = future
@@ -131,7 +132,8 @@
             self._task.cancel()
 
     def _give_up_when_silent(self) -> None:
-        if self._clock.now_ms() - self._heard_ms >= _SILENT_AFTER_MS:
+        since_ms = self._unanswered_since_ms
+        if since_ms is not None and self._clock.now_ms() - since_ms >= _SILENT_AFTER_MS:
             _log.info("rate_owner_unreachable", peer=f"{self._host}:{self._port}")
             self.close()
 
@@ -150,7 +152,7 @@
             self._end()
 
     def _take(self, grant: Grant) -> None:
-        self._heard_ms = self._clock.now_ms()
+        self._unanswered_since_ms = None
         future = self._open.get(grant.number)
         if future is not None and not future.done():
             future.set_result(grant)
@@ -160,6 +162,7 @@
             self._writer.transport.abort()
             self._writer = None
         self._unsent.clear()
+        self._unanswered_since_ms = None
         for future in self._open.values():
             if not future.done():
                 future.set_result(None)
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -37,10 +37,9 @@
     """
     used = min(1.0, total / rate) if rate > 0 else 1.0
     overlap = 1.0 + (1.0 - used) * _SPARE_OVERLAP
-    if total <= 0:
-        return equal * overlap
     equal_part = max(_LEAST_EQUAL_PART, (1.0 - used) * _EQUAL_PART_OF_SPARE)
-    return ((1.0 - equal_part) * own / total + equal_part * equal) * overlap
+    followed = own / total if total > 0 else equal
+    return min(1.0, ((1.0 - equal_part) * followed + equal_part * equal) * overlap)
 
 
 class RateBucket:
--- a/tests/serving/test_grants.py
+++ b/tests/serving/test_grants.py
@@ -94,6 +94,30 @@
     run(scenario)
 
 
+def test_one_slow_answer_after_a_rest_keeps_the_connection() -> None:
+    async def scenario(connection, port) -> None:
+        server, owner = await start_owner(port)
+        accepted = []
+
+        async def count(reader, writer) -> None:
+            accepted.append(writer)
+            await owner.serve(reader, writer)
+
+        server.close()
+        server = await asyncio.start_server(count, HOST, port)
+        assert (await connection.ask("acme")).granted
+        await asyncio.sleep(0.7)
+        decide, owner._decide = owner._decide, lambda _ask: Grant(-1, False, 0)
+        assert await connection.ask("acme") is None
+        owner._decide = decide
+        assert (await connection.ask("acme")).granted
+        assert len(accepted) == 1
+        owner.close()
+        server.close()
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("data", [b"\xff\xff\xff\xff", b"\x00\x00\x00\x02\xc1\xc1", b"GET / HTTP"])
 def test_bytes_that_are_no_ask_end_only_their_connection(data) -> None:
     async def scenario(connection, port) -> None:
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -39,6 +39,12 @@
     assert shares["c"] > 0
 
 
+def test_an_instance_alone_has_the_whole_rate_and_no_more() -> None:
+    fleet = Fleet("a", 0)
+    assert fleet.find_share("o", 0.0, 10.0, 0) == 1.0
+    assert fleet.find_share("o", 2.0, 10.0, 0) == 1.0
+
+
 def test_a_silent_peer_keeps_its_part_until_the_store_confirms_its_end() -> None:
     demands = {"a": 10.0, "b": 10.0, "c": 10.0}
     fleet = make_fleets(list(demands), demands, 0)["a"]
