Remove what the last reading found written or done twice

Ruled out: the rankings that take the lowest hash (watchers, panels): calling rank there would choose other instances. Change: one try, after the same checks in the same order; tables derived when read after a change; the bucket tells its rate; rank serves cold senders and owners and uses hash_unit. A constant and a refusal reason that nothing used go.

--- a/src/waxwingshelf/serving/demand.py
+++ b/src/waxwingshelf/serving/demand.py
@@ -36,7 +36,6 @@
         self._rates: dict[str, float] = {}
         self._buckets: dict[str, RateBucket] = {}
         self._spare: dict[str, RateBucket] = {}
-        self._rules: dict[str, tuple[float, float]] = {}
         self._updated_ms = clock.now_ms()
 
     def list_rates(self) -> dict[str, float]:
@@ -70,9 +69,8 @@
             share = self._find_share(rule.name, rule.rate_per_s, now_ms)
             slack = _SLACK_PART * self._rate_slack / self._count_keepers()
             bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms, slack)
-        elif self._rules[rule.name] != limits:
+        else:
             bucket.set_rate(*limits, now_ms)
-        self._rules[rule.name] = limits
         return bucket
 
     def update(self, beliefs: Beliefs) -> None:
@@ -92,7 +90,7 @@
         for name, bucket in self._buckets.items():
             if elapsed_ms > _FROZEN_MS:
                 bucket.empty(now_ms)
-            bucket.set_share(self._find_share(name, self._rules[name][0], now_ms), now_ms)
+            bucket.set_share(self._find_share(name, bucket.rate_per_s, now_ms), now_ms)
 
     def _find_share(self, name: str, rate_per_s: float, now_ms: int) -> float:
         own = self._rates.get(name, 0.0)
@@ -111,9 +109,6 @@
         if beliefs.config is None:
             return
         known = beliefs.config.organisations
-        for name in [name for name in self._buckets if name not in known]:
-            del self._buckets[name]
-        for name in [name for name in self._rates if name not in known]:
-            del self._rates[name]
-        for name in [name for name in self._spare if name not in known]:
-            del self._spare[name]
+        for kept in (self._buckets, self._rates, self._spare):
+            for name in kept.keys() - known.keys():
+                del kept[name]
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -111,14 +111,14 @@
     async def _find_room(self, exchange: Exchange) -> Send | Refusal:
         line = self._lines.setdefault(exchange.service, WaitingLine())
         exchange.ready_ms = self._clock.now_ms()
-        if not line:
-            send = self._place(exchange)
-            if send is not None:
-                line.note_room(exchange.allowed_regions, False, exchange.ready_ms)
-                return send
-        usable = self._beliefs.book.list_usable(exchange.service)
-        if not usable:
+        if not self._beliefs.book.list_usable(exchange.service):
             return _refuse(exchange, RefusalReason.NO_TARGET, Step.PLACE, "no target is known")
+        if line.is_full():
+            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
+        send = self._place(exchange)
+        if send is not None:
+            line.note_room(exchange.allowed_regions, False, exchange.ready_ms)
+            return send
         durations = self._services.find_durations(exchange.route)
         future: asyncio.Future[Send | None] = asyncio.get_running_loop().create_future()
         waiter = Waiter(
@@ -128,9 +128,7 @@
             exchange.deadline_ms - int(durations.warm_ms),
             exchange.allowed_regions,
         )
-        if not line.add(waiter):
-            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
-        self._place_line(line, waiter)
+        line.add(waiter)
         try:
             send = await future
         except asyncio.CancelledError:
@@ -152,12 +150,6 @@
             _give(waiter.item[1], None)
         line.serve(now_ms, self._place_waiter)
 
-    def _place_line(self, line: WaitingLine[_Waiting], waiter: Waiter[_Waiting]) -> None:
-        """Try a request that has just joined the line."""
-        if self._place_waiter(waiter):
-            line.remove(waiter)
-            line.note_room(waiter.group, False, self._clock.now_ms())
-
     def _place_waiter(self, waiter: Waiter[_Waiting]) -> bool:
         exchange, future = waiter.item
         send = self._place(exchange)
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -25,7 +25,6 @@
 
 # Below the time after which targets close idle connections.
 _KEEPALIVE_S = 4.0
-_MOST_ANSWER_BYTES = 8 * 1024 * 1024
 _MISDIRECTED = 421
 _MS_PER_S = 1_000
 _SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 
-from waxwingshelf.core.hashing import hash_unit
+from waxwingshelf.core.rendezvous import rank
 
 __all__ = ["ColdAllotment", "RateBucket", "RetryBudget", "divide_rate"]
 
@@ -49,12 +49,12 @@
     requests at an instance whose part has not followed the demand yet.
     """
 
-    __slots__ = ("_at_ms", "_burst", "_rate_per_s", "_share", "_slack", "_tokens")
+    __slots__ = ("_at_ms", "_burst", "_share", "_slack", "_tokens", "rate_per_s")
 
     def __init__(
         self, rate_per_s: float, burst: float, share: float, now_ms: int, slack: float = 0.0
     ) -> None:
-        self._rate_per_s = rate_per_s
+        self.rate_per_s = rate_per_s
         self._burst = burst
         self._share = share
         self._slack = slack
@@ -64,7 +64,7 @@
     def set_rate(self, rate_per_s: float, burst: float, now_ms: int) -> None:
         """Follow a changed rule."""
         self._refill(now_ms)
-        self._rate_per_s = rate_per_s
+        self.rate_per_s = rate_per_s
         self._burst = burst
         self._tokens = min(self._tokens, self._find_most())
 
@@ -93,13 +93,13 @@
 
     def find_wait_ms(self) -> int:
         """Return the time until the next token."""
-        rate = self._rate_per_s * self._share
+        rate = self.rate_per_s * self._share
         if rate <= 0:
             return _MS_PER_S
         return int(max(0.0, 1.0 - self._tokens) / rate * _MS_PER_S) + 1
 
     def _refill(self, now_ms: int) -> None:
-        gained = (now_ms - self._at_ms) / _MS_PER_S * self._rate_per_s * self._share
+        gained = (now_ms - self._at_ms) / _MS_PER_S * self.rate_per_s * self._share
         self._at_ms = now_ms
         self._tokens = min(self._tokens + max(0.0, gained), self._find_most())
 
@@ -181,7 +181,6 @@
         known = self._senders.get(target_id)
         if known is not None and known[0] == names:
             return known[1]
-        ranked = sorted(names, key=lambda name: hash_unit(target_id, name), reverse=True)
-        is_sender = self._name in ranked[:senders]
+        is_sender = self._name in rank(target_id, names)[:senders]
         self._senders[target_id] = (names, is_sender)
         return is_sender
--- a/src/waxwingshelf/steering/owners.py
+++ b/src/waxwingshelf/steering/owners.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from waxwingshelf.core.hashing import hash_unit
+from waxwingshelf.core.rendezvous import rank
 from waxwingshelf.steering.fleet import PeerAddress
 from waxwingshelf.steering.limits import divide_rate
 
@@ -55,11 +56,8 @@
 
 def rank_owners(organisation: str, candidates: list[PeerAddress]) -> list[PeerAddress]:
     """Rank by rendezvous hashing, so that one candidate's end moves only its own rates."""
-    return sorted(
-        candidates,
-        key=lambda address: hash_unit(organisation, address.name),
-        reverse=True,
-    )
+    by_name = {address.name: address for address in candidates}
+    return [by_name[name] for name in rank(organisation, by_name)]
 
 
 class RateOwners:
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -27,7 +27,6 @@
     STOPPING = "stopping"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
-    MALFORMED = "malformed"
     BODY_TOO_LARGE = "body_too_large"
     OVER_RATE = "over_rate"
     NO_TARGET = "no_target"
@@ -45,7 +44,6 @@
     RefusalReason.STOPPING: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.UNKNOWN_KEY: 401,
-    RefusalReason.MALFORMED: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.OVER_RATE: 429,
     RefusalReason.NO_TARGET: 503,
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -160,6 +160,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._by_token: dict[int, TargetState] = {}
         self._tokens_by_peer: dict[str, set[int]] = {}
+        self._built_version = 0
         self.version = 0
 
     def put(self, target: Target, now_ms: int) -> None:
@@ -171,13 +172,13 @@
         state.target = target
         if target.cold_for_ms > 0:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + target.cold_for_ms)
-        self._rebuild()
+        self.version += 1
 
     def remove(self, target_id: str) -> bool:
         """Forget a target that is gone; False when it was not known."""
         if self._states.pop(target_id, None) is None:
             return False
-        self._rebuild()
+        self.version += 1
         return True
 
     def set_evacuated(self, domains: frozenset[str], now_ms: int, cold_ms: int) -> None:
@@ -188,7 +189,7 @@
             if state.target.failure_domain in self._evacuated - domains:
                 state.cold_until_ms = max(state.cold_until_ms, now_ms + cold_ms)
         self._evacuated = domains
-        self._rebuild()
+        self.version += 1
 
     def get(self, target_id: str) -> TargetState | None:
         """Return a known target."""
@@ -200,10 +201,12 @@
 
     def list_usable(self, service: str) -> list[TargetState]:
         """Return the targets that may get new work: neither draining nor evacuated."""
+        self._rebuild()
         return self._by_service.get(service, [])
 
     def list_loads(self) -> dict[int, int]:
         """Return this instance's requests in flight by the targets' tokens."""
+        self._rebuild()
         return {
             token: len(state.in_flight)
             for token, state in self._by_token.items()
@@ -212,6 +215,7 @@
 
     def note_peer_loads(self, peer: str, loads: dict[int, int], now_ms: int) -> None:
         """Replace what another instance has in flight, by the targets' tokens."""
+        self._rebuild()
         for token in self._tokens_by_peer.get(peer, set()) - loads.keys():
             if (state := self._by_token.get(token)) is not None:
                 state.peer_loads.pop(peer, None)
@@ -221,7 +225,10 @@
         self._tokens_by_peer[peer] = set(loads)
 
     def _rebuild(self) -> None:
-        self.version += 1
+        """Derive the tables anew if a target changed: once for a listing, not for each entry."""
+        if self._built_version == self.version:
+            return
+        self._built_version = self.version
         self._by_token = {make_token(state.target.id): state for state in self._states.values()}
         by_service: dict[str, list[TargetState]] = {}
         for state in self._states.values():
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -58,9 +58,13 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    def is_full(self) -> bool:
+        """Tell whether no further request may wait."""
+        return len(self._waiters) >= self._most
+
     def add(self, waiter: Waiter[_T]) -> bool:
         """Take in a request; False when the line is full."""
-        if len(self._waiters) >= self._most:
+        if self.is_full():
             return False
         waiter.number = next(self._numbers)
         self._waiters[waiter.number] = waiter
