Share the hop-by-hop headers and the tests' waiting

Cause: both request paths listed the headers of one connection, and both conftests polled a condition in the same lines. Ruled out: merging the readers of bodies and the log adapters, which differ in what they bound. Change: core.hop_headers and tests.waits, each side adding what is its own (the host, proxy-connection). Before and after: the same headers are dropped, the same limits are waited; lint and the tests of both paths pass.

--- a/src/waxwingshelf/program/headers.py
+++ b/src/waxwingshelf/program/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from waxwingshelf.adapters.target_http import ID_HEADER, LOAD_HEADER
+from waxwingshelf.core.hop_headers import HOP_HEADERS
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -17,21 +18,8 @@
 ORGANISATION_HEADER = "X-Organisation"
 ID_KEY_HEADER = "Idempotency-Key"
 REPLAYED_HEADER = "X-Replayed"
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-        "expect",
-    }
-)
+# The host is that of the target.
+_DROPPED_HEADERS = HOP_HEADERS | {"host"}
 _PRIVATE_HEADERS = frozenset(
     {
         "authorization",
@@ -48,10 +36,10 @@
 def is_passed_on(header: str) -> bool:
     """Tell whether a caller's header goes on to the target: never the key."""
     name = header.lower()
-    return name not in _HOP_HEADERS and name not in _PRIVATE_HEADERS
+    return name not in _DROPPED_HEADERS and name not in _PRIVATE_HEADERS
 
 
 def is_passed_back(header: str) -> bool:
     """Tell whether a target's header goes back to the caller."""
     name = header.lower()
-    return name not in _HOP_HEADERS and name not in _TARGET_HEADERS
+    return name not in _DROPPED_HEADERS and name not in _TARGET_HEADERS
--- a/src/waxwingshelf/serving/headers.py
+++ b/src/waxwingshelf/serving/headers.py
@@ -6,6 +6,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from waxwingshelf.core.hop_headers import HOP_HEADERS
 from waxwingshelf.platform.names import (
     CREDENTIAL_HEADER,
     DEADLINE_HEADER,
@@ -15,21 +16,7 @@
 
 __all__ = ["copy_answer_headers", "copy_request_headers", "parse_deadline"]
 
-_CONNECTION_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
+_CONNECTION_HEADERS = HOP_HEADERS | {"proxy-connection"}
 # Set by this instance or meant for it alone, whatever the caller sent.
 _OWN_REQUEST_HEADERS = frozenset(
     name.lower()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,7 @@
 
 from standins.store import StoreStandIn
 from standins.target import Behaviour, TargetStandIn
+from tests.waits import wait_until
 from tools.processes import find_ports
 from waxwingshelf.core.config import digest_key
 from waxwingshelf.program.instance import Instance
@@ -60,14 +61,7 @@
         return await self.call(name, "POST", "/s/orders/x", "acme", headers=headers, data=body)
 
     async def until(self, condition: Callable[[], Any]) -> None:
-        async with asyncio.timeout(READY_S):
-            while True:
-                result = condition()
-                if isinstance(result, Awaitable):
-                    result = await result
-                if result:
-                    return
-                await asyncio.sleep(0.02)
+        await wait_until(condition, READY_S)
 
     async def start_store(self, port: int) -> None:
         await self.serve(self.store.build_app(), port)
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -12,6 +12,7 @@
 
 from standins.platform_store import PlatformStoreStandIn
 from standins.platform_target import PlatformTargetStandIn
+from tests.waits import wait_until
 from tools.processes import find_ports
 from waxwingshelf.platform.settings import Bounds, Endpoint, InstanceSettings
 from waxwingshelf.serving.instance import Instance
@@ -158,14 +159,7 @@
         return json.loads(body)["addresses"] if status == 200 else []
 
     async def until(self, condition: Callable[[], Any]) -> None:
-        async with asyncio.timeout(WAIT_S):
-            while True:
-                result = condition()
-                if isinstance(result, Awaitable):
-                    result = await result
-                if result:
-                    return
-                await asyncio.sleep(0.02)
+        await wait_until(condition, WAIT_S)
 
     async def until_ready(self, name: str) -> None:
         async def is_ready() -> bool:
