Let no share of a rate grow while a peer is silent

Each side took the other's demand to be what it last was, so both grew: on paper the parts sum to 1.64 (0.94 and 0.81 of the part that follows demand); 3728 requests ran in 5 s where 3663 are allowed. Ruled out: tokens of a burst held twice (a bucket whose share shrinks drops them at once); requests given back after a send (only those that no target ran). Change: instances that hear each other keep together the part they had when the first silent peer was last heard (steering.silent_peers). A share grows only with demand that a heartbeat has reported. The share of an instance cut off from the store and most peers ends before its peers take it over. In the first 0.6 s of a cut both sides may still grow; the overage carries that.

--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -119,3 +119,4 @@
         for table in (self._buckets, self._demand_rates, self._fallback_buckets):
             for name in table.keys() - known.keys():
                 del table[name]
+        self._fleet.forget_organisations(known)
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -8,11 +8,14 @@
 
 from __future__ import annotations
 
+import math
 import random
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.steering.limits import compute_rate_share
+from waxwingshelf.steering.silent_peers import SilentPeerCap
 
 __all__ = ["Fleet", "Heartbeat", "LoadReport", "Peer", "PeerAddress"]
 
@@ -28,6 +31,13 @@
 _REMOVAL_DELAY_MS = 3_000
 _ISOLATION_TIMEOUT_MS = 2_500
 _ISOLATED_SHARE_FACTOR = 0.8
+# A peer is silent after this time without a heartbeat, two or three heartbeat intervals. It is
+# shorter than the heartbeat timeout, since a silent peer only stops the growth of shares.
+_SILENT_AFTER_MS = 600
+# The store drops the registration of an isolated instance after the time to live of its lease, and
+# peers take over its share after a further `_REMOVAL_DELAY_MS`. The share ends before that.
+_SHARE_EXPIRY_MS = 8_000
+_EXPIRED_SHARE_FACTOR = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +108,7 @@
         self._region = region
         self._peers: dict[str, Peer] = {}
         self._started_ms = now_ms
+        self._silent_peer_caps: dict[str, SilentPeerCap] = {}
         self.last_store_contact_ms: int | None = None
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
@@ -248,15 +259,10 @@
 
         That is possible after a loss of contact with both the store and most peers.
         """
-        responsive = sum(self.has_recent_heartbeat(peer, now_ms) for peer in self._peers.values())
-        if responsive * 2 >= len(self._peers):
-            return False
-        last_contact_ms = (
-            self.last_store_contact_ms
-            if self.last_store_contact_ms is not None
-            else self._started_ms
+        return (
+            not self._hears_most_peers(now_ms)
+            and self._compute_store_silence_ms(now_ms) > _ISOLATION_TIMEOUT_MS
         )
-        return now_ms - last_contact_ms > _ISOLATION_TIMEOUT_MS
 
     def compute_share(
         self, organisation: str, own_demand: float, rate: float, now_ms: int
@@ -264,10 +270,51 @@
         """Return this instance's share of an organisation's rate in a small fleet, from 0 to 1.
 
         The shares of the instances follow their demand; see `compute_rate_share`. The last demand
-        of an unresponsive peer counts until the store confirms that the peer has stopped. An
-        isolated instance reduces its share; see `is_isolated`.
+        of an unresponsive peer counts until the store confirms that the peer has stopped, and until
+        then the shares of the others do not grow; see `SilentPeerCap`. A share grows only with
+        demand that heartbeats have reported to the peers. An isolated instance reduces its share;
+        see `is_isolated`.
         """
-        peer_demand = sum(peer.demand.get(organisation, 0.0) for peer in self._peers.values())
+        if not self._peers:
+            return 1.0
+        demand = {name: peer.demand.get(organisation, 0.0) for name, peer in self._peers.items()}
+        demand[self._name] = own_demand
+        silent_since_ms = self._list_silent_peers(now_ms)
+        cap = self._silent_peer_caps.setdefault(organisation, SilentPeerCap())
+        part = cap.update(demand, silent_since_ms, now_ms)
+        reported_demand = min(own_demand, cap.find_lowest_recent(self._name, now_ms))
+        total_demand = sum(demand.values())
+        if part < 1.0:
+            heard = sum(value for name, value in demand.items() if name not in silent_since_ms)
+            total_demand = max(total_demand, heard / part if part > 0 else math.inf)
         equal_share = 1.0 / self.count_instances()
-        share = compute_rate_share(own_demand, peer_demand + own_demand, rate, equal_share)
-        return share * _ISOLATED_SHARE_FACTOR if self.is_isolated(now_ms) else share
+        share = compute_rate_share(reported_demand, total_demand, rate, equal_share)
+        return share * self._compute_isolation_factor(now_ms)
+
+    def forget_organisations(self, known: Collection[str]) -> None:
+        """Drop the demand history of organisations that are no longer known."""
+        for organisation in self._silent_peer_caps.keys() - set(known):
+            del self._silent_peer_caps[organisation]
+
+    def _list_silent_peers(self, now_ms: int) -> dict[str, int]:
+        """Return the time of the last heartbeat of each silent peer."""
+        return {
+            name: peer.last_heartbeat_ms
+            for name, peer in self._peers.items()
+            if peer.last_heartbeat_ms is not None
+            and now_ms - peer.last_heartbeat_ms >= _SILENT_AFTER_MS
+        }
+
+    def _hears_most_peers(self, now_ms: int) -> bool:
+        responsive = sum(self.has_recent_heartbeat(peer, now_ms) for peer in self._peers.values())
+        return responsive * 2 >= len(self._peers)
+
+    def _compute_store_silence_ms(self, now_ms: int) -> int:
+        last_contact_ms = self.last_store_contact_ms
+        return now_ms - (self._started_ms if last_contact_ms is None else last_contact_ms)
+
+    def _compute_isolation_factor(self, now_ms: int) -> float:
+        if not self.is_isolated(now_ms):
+            return 1.0
+        expired = self._compute_store_silence_ms(now_ms) >= _SHARE_EXPIRY_MS
+        return _EXPIRED_SHARE_FACTOR if expired else _ISOLATED_SHARE_FACTOR
