Order everything from the store by era and revision

Revisions alone ordered everything: an instance would have kept removed targets, taken no new ones and missed configurations until the counter passed what it was. Ruled out for CONFIG: a peer that was ahead (all instances were caught alike); store_lost (never logged, as renewals did not count as failures). Change: positions of (era, revision) in mirror, watches, listings, heartbeats and pulls; entries of targets by (born, sequence) after a restore; evacuations, configuration and peers' registrations held; our lease forgotten in a new era, our key deleted by its revision. A renewal without an answer ends the watch; after a failure watches are short. Targets' entries have their own module (target_entries).

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -24,6 +24,7 @@
     "decode_target",
     "encode_member",
     "make_member_key",
+    "make_target_key",
     "parse_evacuated_domain",
     "parse_member_name",
     "parse_target_id",
@@ -115,6 +116,8 @@
 class _Status(msgspec.Struct):
     state: str
     cold_remaining_ms: float = 0
+    # Counts what the target has said of itself since its start.
+    sequence: int = 0
 
 
 class _Server(msgspec.Struct):
@@ -166,6 +169,11 @@
     return key[len(MEMBER_PREFIX) :] if key.startswith(MEMBER_PREFIX) else None
 
 
+def make_target_key(target_id: str) -> str:
+    """Return the store key of a target's entry."""
+    return TARGET_PREFIX + target_id
+
+
 def make_member_key(name: str) -> str:
     """Return the store key under which an instance registers."""
     return MEMBER_PREFIX + name
@@ -191,6 +199,7 @@
             draining=entry.status.state == "draining",
             cold_for_ms=int(entry.status.cold_remaining_ms),
             started_ms=entry.born,
+            entry_number=entry.status.sequence,
         )
     except ValueError as error:
         raise DecodeError(str(error)) from None
--- a/src/waxwingshelf/platform/names.py
+++ b/src/waxwingshelf/platform/names.py
@@ -19,6 +19,7 @@
     "RESPONDING_TARGET_HEADER",
     "SETTINGS_VARIABLE",
     "SIGNATURE_HEADER",
+    "STORE_ERA_HEADER",
     "TARGET_PREFIX",
 ]
 
@@ -34,6 +35,8 @@
 SIGNATURE_HEADER = "Server-Signature"
 LOAD_HEADER = "Server-Load"
 NOT_RUN_HEADER = "Not-Executed"
+# Rises by one each time the store comes back from an older copy of its data.
+STORE_ERA_HEADER = "Store-Era"
 
 READINESS_PATH = "/api/readiness"
 RESOLVE_PATH = "/api/resolve"
--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TypeVar
@@ -11,10 +12,11 @@
 import aiohttp
 import msgspec
 
+from waxwingshelf.platform.names import STORE_ERA_HEADER
 from waxwingshelf.platform.settings import Endpoint
-from waxwingshelf.steering.mirror import Change
+from waxwingshelf.steering.mirror import Change, Position
 
-__all__ = ["Listing", "StoreClient", "StoreError", "StoreErrorKind", "WatchBatch"]
+__all__ = ["Lease", "Listing", "StoreClient", "StoreError", "StoreErrorKind", "WatchBatch"]
 
 _CALL_TIMEOUT_S = 1.5
 _WATCH_MARGIN_S = 1.0
@@ -23,13 +25,17 @@
 
 
 class StoreErrorKind(StrEnum):
-    """Why a call failed; after `UNKNOWN` a write may have taken effect or may do so later."""
+    """Why a call failed; after `UNKNOWN` a write may have taken effect or may do so later.
+
+    `OUTDATED` is an answer from before the store came back from an older copy.
+    """
 
     REFUSED = "refused"
     UNKNOWN = "unknown"
     COMPACTED = "compacted"
     MISSING = "missing"
     CONFLICT = "conflict"
+    OUTDATED = "outdated"
 
 
 class StoreError(Exception):
@@ -45,20 +51,28 @@
 class Listing:
     """All items whose keys start with a prefix, as of one revision if they fit into one page.
 
-    If there are several pages, `as_of` is the revision of the first page, and the other pages may
+    If there are several pages, `position` is that of the first page, and the other pages may
     include later changes.
     """
 
     items: list[Change]
-    as_of: int
+    position: Position
 
 
 @dataclass(frozen=True, slots=True)
 class WatchBatch:
-    """Changes after the requested revision, complete up to `as_of`."""
+    """Changes after the requested revision, complete up to `position`."""
 
     changes: list[Change]
-    as_of: int
+    position: Position
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease, and the era in which the store created it; it does not exist in a later era."""
+
+    id: int
+    era: int
 
 
 class _Item(msgspec.Struct):
@@ -79,11 +93,15 @@
     as_of: int
 
 
-class _Lease(msgspec.Struct):
+class _LeaseBody(msgspec.Struct):
     lease: int
     ttl_ms: int
 
 
+class _Written(msgspec.Struct):
+    revision: int
+
+
 class _Expected(msgspec.Struct):
     key: str
     revision: int
@@ -103,16 +121,23 @@
 
 
 class StoreClient:
-    """HTTP client of the store; a failed call raises `StoreError`."""
+    """HTTP client of the store; a failed call raises `StoreError`.
+
+    `era` is the latest era in the store's answers. `on_new_era` is called when it rises, except for
+    the first answer.
+    """
 
     def __init__(self, endpoint: Endpoint, session: aiohttp.ClientSession) -> None:
         self._base_url = f"http://{endpoint}"
         self._session = session
+        self._answered = False
+        self.era = 0
+        self.on_new_era: Callable[[], None] = _ignore_new_era
 
     async def list_items(self, prefix: str) -> Listing:
         """Return all items whose keys start with a prefix, read page by page."""
         items: list[Change] = []
-        as_of: int | None = None
+        position: Position | None = None
         after = ""
         while True:
             query = {"path_prefix": prefix}
@@ -123,9 +148,12 @@
             items += [_to_change(item) for item in page.items]
             # The first page has the earliest revision: a watch from it also returns the changes
             # made between the pages.
-            as_of = page.as_of if as_of is None else as_of
+            if position is None:
+                position = Position(self.era, page.as_of)
+            if position.era != self.era:
+                raise StoreError(StoreErrorKind.OUTDATED, "range", "new era between two pages")
             if not page.truncated or not page.items:
-                return Listing(items, as_of)
+                return Listing(items, position)
             after = page.items[-1].key
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> WatchBatch:
@@ -134,27 +162,42 @@
         timeout_s = wait_ms / _MS_PER_S + _WATCH_MARGIN_S
         body = await self._call("watch", "GET", "/api/kv-watch", timeout_s, query)
         events = _decode(body, _Events, "watch")
-        return WatchBatch([_to_change(item) for item in events.events], events.as_of)
+        changes = [_to_change(item) for item in events.events]
+        return WatchBatch(changes, Position(self.era, events.as_of))
 
-    async def create_lease(self, ttl_ms: int) -> int:
-        """Create a lease and return its id."""
+    async def create_lease(self, ttl_ms: int) -> Lease:
+        """Create a lease and return it."""
         body = msgspec.json.encode({"ttl_ms": ttl_ms})
         content = await self._call("lease", "POST", "/api/kv-lease", _CALL_TIMEOUT_S, body=body)
-        return _decode(content, _Lease, "lease").lease
+        return Lease(_decode(content, _LeaseBody, "lease").lease, self.era)
 
-    async def renew_lease(self, lease: int) -> None:
-        """Renew a lease; raise `StoreError` with kind `MISSING` if it has ended."""
-        await self._call("keep", "POST", f"/api/kv-keep/{lease}", _CALL_TIMEOUT_S)
+    async def renew_lease(self, lease: Lease) -> None:
+        """Renew a lease; raise `StoreError` with kind `MISSING` if it has ended.
 
-    async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease, which removes its keys."""
-        await self._call("end", "DELETE", f"/api/kv-lease-end/{lease}", _CALL_TIMEOUT_S)
+        A lease of an earlier era has ended, although its id may be in use again.
+        """
+        await self._call("keep", "POST", f"/api/kv-keep/{lease.id}", _CALL_TIMEOUT_S)
+        if lease.era != self.era:
+            raise StoreError(StoreErrorKind.MISSING, "keep", f"created in era {lease.era}")
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
-        """Write a key unconditionally and attach it to a lease."""
+    async def put(self, key: str, value: bytes, lease: Lease) -> Position:
+        """Write a key unconditionally, attach it to a lease, and return the position."""
         text = base64.b64encode(value).decode()
-        body = msgspec.json.encode(_Transaction([], [_Write(key, text, lease)], []))
-        await self._call("put", "POST", "/api/kv-txn", _CALL_TIMEOUT_S, body=body)
+        transaction = _Transaction([], [_Write(key, text, lease.id)], [])
+        content = await self._transact("put", transaction)
+        if lease.era != self.era:
+            raise StoreError(StoreErrorKind.MISSING, "put", f"lease created in era {lease.era}")
+        return Position(self.era, _decode(content, _Written, "put").revision)
+
+    async def delete(self, key: str, position: Position) -> None:
+        """Delete a key if its last change is at `position`; else raise `CONFLICT`."""
+        if position.era != self.era:
+            raise StoreError(StoreErrorKind.CONFLICT, "delete", f"written in era {position.era}")
+        await self._transact("delete", _Transaction([_Expected(key, position.revision)], [], [key]))
+
+    async def _transact(self, step: str, transaction: _Transaction) -> bytes:
+        body = msgspec.json.encode(transaction)
+        return await self._call(step, "POST", "/api/kv-txn", _CALL_TIMEOUT_S, body=body)
 
     async def _call(
         self,
@@ -177,12 +220,28 @@
                 ) as response:
                     content = await response.read()
                     status = response.status
+                    era = response.headers.get(STORE_ERA_HEADER, "")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise StoreError(StoreErrorKind.UNKNOWN, step, repr(error)) from None
+        self._check_era(era, step)
         if status == 200:
             return content
         raise StoreError(_classify_status(status), step, f"status {status}")
 
+    def _check_era(self, text: str, step: str) -> None:
+        """Record the era of an answer; raise `StoreError` if the answer is of an earlier era.
+
+        An answer without an era belongs to the latest one: a store without eras sends none.
+        """
+        era = int(text) if text.isdigit() else self.era
+        if era < self.era:
+            raise StoreError(StoreErrorKind.OUTDATED, step, f"era {era} after {self.era}")
+        is_restored = era > self.era and self._answered
+        self.era = era
+        self._answered = True
+        if is_restored:
+            self.on_new_era()
+
 
 _KIND_BY_STATUS = {
     404: StoreErrorKind.MISSING,
@@ -191,6 +250,10 @@
 }
 
 
+def _ignore_new_era() -> None:
+    """Ignore a new era; the default of `StoreClient.on_new_era`."""
+
+
 def _classify_status(status: int) -> StoreErrorKind:
     return _KIND_BY_STATUS.get(status, StoreErrorKind.REFUSED)
 
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -223,11 +223,12 @@
 
     async def _run_updates(self) -> None:
         while True:
-            self._routing_state.expire_held_targets()
+            self._routing_state.expire_held()
             self._demand_tracker.update(self._routing_state)
             if self._routing_state.config is not None:
                 self._metrics.config_version.set(self._routing_state.config.version)
                 self._apply_caller_limits(self._routing_state.config.limits)
+            self._metrics.store_restores.set(self._routing_state.store_restores)
             self._metrics.in_flight.set(self._request_handler.in_flight)
             await asyncio.sleep(_UPDATE_INTERVAL_S)
 
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -67,6 +67,11 @@
             "Version of the current configuration.",
             registry=registry,
         )
+        self.store_restores = Gauge(
+            "waxwingshelf_store_restores",
+            "Times the store came back from an older copy of its data since this process started.",
+            registry=registry,
+        )
         self.dropped_log_lines = Gauge(
             "waxwingshelf_dropped_log_lines",
             "Log lines dropped because standard output was blocked.",
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -23,7 +23,7 @@
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, LoadReport, Peer, PeerAddress
-from waxwingshelf.steering.mirror import Change
+from waxwingshelf.steering.mirror import Change, Position
 
 __all__ = ["STATE_PATH", "PeerNetwork"]
 
@@ -40,11 +40,17 @@
 
 
 class _StateResponse(msgspec.Struct):
-    """The changes after a revision, or all keys if `whole` is set."""
+    """The changes after a position, or all keys if `whole` is set.
+
+    `config` is the configuration in force if it is not the one among the store's keys, which may be
+    older after the store came back from an older copy.
+    """
 
     as_of: int
     whole: bool
     changes: list[tuple[str, int, bytes | None]]
+    era: int = 0
+    config: bytes | None = None
 
 
 _HEARTBEAT_DECODER = msgspec.msgpack.Decoder(Heartbeat)
@@ -153,14 +159,17 @@
 
     def _encode_heartbeat(self) -> bytes:
         self._heartbeat_number += 1
+        position = self._routing_state.mirror.position
         heartbeat = Heartbeat(
             self.address,
             self._boot,
             self._heartbeat_number,
             self.ready,
-            self._routing_state.mirror.as_of,
+            position.revision,
             {} if self._fleet.is_large() else self._demand_tracker.list_demand_rates(),
             self.is_watching(),
+            position.era,
+            self._routing_state.config_version,
         )
         return _HEARTBEAT_TYPE + msgspec.msgpack.encode(heartbeat)
 
@@ -195,12 +204,9 @@
         now_ms = self._clock.now_ms()
         heartbeat = _HEARTBEAT_DECODER.decode(data)
         is_new = self._fleet.record_heartbeat(heartbeat, now_ms)
+        position = Position(heartbeat.era, heartbeat.revision)
         # In a small fleet every instance watches the store, so the periodic check is soon enough.
-        if (
-            is_new
-            and self._fleet.is_large()
-            and heartbeat.revision > self._routing_state.mirror.as_of
-        ):
+        if is_new and self._fleet.is_large() and position > self._routing_state.mirror.position:
             self._catch_up()
 
     def _handle_load_report(self, data: memoryview) -> None:
@@ -214,15 +220,19 @@
             self.send_to(peer.address, data)
 
     async def handle_state_request(self, request: web.BaseRequest) -> web.Response:
-        """Answer a peer with the changes after its revision, or with all keys."""
-        after_text = request.query.get("after", "")
-        after = int(after_text) if after_text.isdigit() else 0
+        """Answer a peer with the changes after its position, or with all keys."""
         mirror = self._routing_state.mirror
+        # An instance of an earlier build sends no era.
+        era = _parse_number(request.query.get("era", ""), mirror.position.era)
+        after = Position(era, _parse_number(request.query.get("after", ""), 0))
         changes = mirror.list_changes_since(after)
         whole = changes is None
         items = mirror.list_items() if changes is None else changes
         rows = [(change.key, change.revision, change.value) for change in items]
-        body = msgspec.msgpack.encode(_StateResponse(mirror.as_of, whole, rows))
+        position = mirror.position
+        config = self._routing_state.find_config_ahead_of_store()
+        state = _StateResponse(position.revision, whole, rows, position.era, config)
+        body = msgspec.msgpack.encode(state)
         # Many peers may read a whole configuration at the same time, and small machines have slow
         # links.
         return web.Response(body=zlib.compress(body, _COMPRESSION_LEVEL))
@@ -255,7 +265,13 @@
             for peer in self._fleet.list_peers()
             if self._fleet.has_recent_heartbeat(peer, now_ms)
         ]
-        ahead = [peer for peer in reachable if peer.revision > self._routing_state.mirror.as_of]
+        position = self._routing_state.mirror.position
+        config_version = self._routing_state.config_version
+        ahead = [
+            peer
+            for peer in reachable
+            if peer.position > position or peer.config_version > config_version
+        ]
         same_region = [peer for peer in ahead if peer.address.region == self.address.region]
         # Choose at random: if all instances read from the same peer, its link would saturate.
         return self._rng.choice(same_region or ahead) if ahead else None
@@ -264,7 +280,8 @@
         if self._session is None:
             return
         url = f"http://{host}:{port}{STATE_PATH}"
-        query = {"after": str(self._routing_state.mirror.as_of)}
+        known = self._routing_state.mirror.position
+        query = {"after": str(known.revision), "era": str(known.era)}
         try:
             async with asyncio.timeout(_PULL_TIMEOUT_S):
                 async with self._session.get(url, params=query) as response:
@@ -277,7 +294,14 @@
         self._metrics.peer_pulls.labels("ok").inc()
         changes = [Change(key, revision, value) for key, revision, value in state.changes]
         source = f"{host}:{port}"
+        position = Position(state.era, state.as_of)
         if state.whole:
-            self._routing_state.replace(changes, state.as_of, source)
+            self._routing_state.replace(changes, position, source)
         else:
-            self._routing_state.apply(changes, state.as_of, source)
+            self._routing_state.apply(changes, position, source)
+        if state.config is not None:
+            self._routing_state.apply_config(state.config, source)
+
+
+def _parse_number(text: str, default: int) -> int:
+    return int(text) if text.isdigit() else default
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -15,21 +15,24 @@
     DecodeError,
     decode_config,
     decode_member,
-    decode_target,
+    make_target_key,
     parse_evacuated_domain,
     parse_member_name,
-    parse_target_id,
 )
-from waxwingshelf.platform.names import CONFIG_KEY, EVACUATION_PREFIX
+from waxwingshelf.platform.names import CONFIG_KEY
+from waxwingshelf.serving.target_entries import TargetEntries
 from waxwingshelf.steering.config import SteeringConfig
 from waxwingshelf.steering.fleet import Fleet
-from waxwingshelf.steering.mirror import Change, Mirror
-from waxwingshelf.steering.targets import TargetRegistry, is_mass_removal
+from waxwingshelf.steering.mirror import Change, Mirror, Position
 
 __all__ = ["RoutingState"]
 
-# Entries whose lease expired during a store outage reappear about two seconds after the outage.
-_REMOVAL_HOLD_MS = 2_200
+# An evacuation that an older copy of the store lacks stays in force until the operators write it
+# again, or for this long: they may have ended it while the store was away.
+_EVACUATION_HOLD_MS = 10_000
+# The time to live of an instance's lease. An instance that an older copy of the store lacks may be
+# partitioned and still serve, so it counts as stopped only when its lease would have expired.
+_MEMBER_HOLD_MS = 6_000
 _DEFAULT_COLD_START_MS = 3_000
 _log = structlog.get_logger("routing_state")
 
@@ -40,138 +43,146 @@
     def __init__(self, clock: Clock, fleet: Fleet) -> None:
         self._clock = clock
         self._fleet = fleet
+        self._target_entries = TargetEntries(clock)
         self.mirror = Mirror()
-        self.targets = TargetRegistry()
+        self.targets = self._target_entries.registry
         self.config: SteeringConfig | None = None
         self.config_loaded = asyncio.Event()
-        self._held_until_ms: dict[str, int] = {}
-        self._store_recovered_ms: int | None = None
-
-    def apply(self, changes: list[Change], as_of: int, source: str) -> None:
-        """Apply changes from the store or a peer that are complete up to revision `as_of`."""
-        self._apply_changes(self.mirror.apply(changes, as_of), source)
-
-    def replace(self, items: list[Change], as_of: int, source: str) -> None:
-        """Apply a listing of all keys at revision `as_of`; keys that it lacks were removed."""
-        self._apply_changes(self.mirror.replace(items, as_of), source)
+        self._config_value: bytes | None = None
+        self._evacuated: frozenset[str] = frozenset()
+        self._held_evacuations_until_ms: dict[str, int] = {}
+        self.store_restores = 0
+
+    @property
+    def config_version(self) -> int:
+        """Return the version of the configuration in force, or 0."""
+        return self.config.version if self.config is not None else 0
+
+    def apply(self, changes: list[Change], position: Position, source: str) -> None:
+        """Apply changes from the store or a peer that are complete up to `position`."""
+        self._apply_changes(self.mirror.apply(changes, position), source)
+
+    def replace(self, items: list[Change], position: Position, source: str) -> None:
+        """Apply a listing of all keys at `position`; keys that it lacks were removed."""
+        earlier = self.mirror.position
+        changes = self.mirror.replace(items, position)
+        if position.era > earlier.era and earlier != Position():
+            self._apply_restored(changes, earlier, source)
+        else:
+            self._apply_changes(changes, source)
+
+    def apply_config(self, value: bytes, source: str) -> None:
+        """Apply a configuration that a peer uses, if it is newer than the one in force."""
+        self._apply_config(value, self.mirror.position.revision, source)
+
+    def find_config_ahead_of_store(self) -> bytes | None:
+        """Return the configuration in force if the store's keys hold another one."""
+        change = self.mirror.get(CONFIG_KEY)
+        stored = change.value if change is not None else None
+        return self._config_value if stored != self._config_value else None
 
     def record_store_recovered(self) -> None:
         """Delay target removals for a while, since leases may have expired during the outage."""
-        self._store_recovered_ms = self._clock.now_ms()
-
-    def expire_held_targets(self) -> None:
-        """Remove the held targets whose entries did not reappear in time."""
-        now_ms = self._clock.now_ms()
-        due = [
-            target_id for target_id, until_ms in self._held_until_ms.items() if now_ms >= until_ms
+        self._target_entries.record_store_recovered()
+
+    def expire_held(self) -> None:
+        """End what was only held for a time: removed targets, evacuations, outdated entries."""
+        confirmed = [
+            change
+            for target_id in self._target_entries.expire()
+            if (change := self.mirror.get(make_target_key(target_id))) is not None
         ]
-        for target_id in due:
-            del self._held_until_ms[target_id]
-            self._remove_target(target_id, "lapsed")
+        self._target_entries.apply(confirmed)
+        now_ms = self._clock.now_ms()
+        held = self._held_evacuations_until_ms
+        expired = [domain for domain, until_ms in held.items() if now_ms >= until_ms]
+        for domain in expired:
+            del held[domain]
+        if expired:
+            self._update_evacuations()
 
     def _apply_changes(self, changes: list[Change], source: str) -> None:
-        if not changes:
-            return
-        removed = [
-            target_id
-            for change in changes
-            if change.value is None and (target_id := parse_target_id(change.key)) is not None
-        ]
-        hold_ms = self._compute_hold_ms(len(removed))
+        self._target_entries.apply(changes)
+        now_ms = self._clock.now_ms()
         for change in changes:
-            self._apply_change(change, hold_ms, source)
-        if any(change.key.startswith(EVACUATION_PREFIX) for change in changes):
-            self._update_evacuations()
-
-    def _compute_hold_ms(self, removed_count: int) -> int:
-        """Return how long to hold removed targets: after a store outage or in a mass removal."""
+            self._apply_config_or_member(change, source, now_ms)
+            domain = parse_evacuated_domain(change.key)
+            if domain is not None:
+                self._held_evacuations_until_ms.pop(domain, None)
+        self._update_evacuations()
+
+    def _apply_restored(self, changes: list[Change], earlier: Position, source: str) -> None:
+        """Apply a listing of the store after it came back from an older copy."""
+        self.store_restores += 1
+        position = self.mirror.position
+        _log.warning(
+            "store_restored",
+            era=position.era,
+            revision=position.revision,
+            era_before=earlier.era,
+            revision_before=earlier.revision,
+            source=source,
+        )
+        self._target_entries.apply_restored(changes)
         now_ms = self._clock.now_ms()
-        if self._store_recovered_ms is not None:
-            remaining_ms = self._store_recovered_ms + _REMOVAL_HOLD_MS - now_ms
-            if remaining_ms > 0:
-                return remaining_ms
-        if is_mass_removal(removed_count, len(self.targets.list_ids())):
-            return _REMOVAL_HOLD_MS
-        return 0
-
-    def _apply_change(self, change: Change, hold_ms: int, source: str) -> None:
+        for change in changes:
+            self._apply_config_or_member(change, source, now_ms + _MEMBER_HOLD_MS)
+        for domain in self._evacuated - self._list_evacuated():
+            self._held_evacuations_until_ms[domain] = now_ms + _EVACUATION_HOLD_MS
+        self._update_evacuations()
+
+    def _apply_config_or_member(self, change: Change, source: str, unregistered_ms: int) -> None:
         if change.key == CONFIG_KEY:
-            self._apply_config(change, source)
-            return
-        target_id = parse_target_id(change.key)
-        if target_id is not None:
-            self._apply_target(target_id, change, hold_ms)
+            if change.value is not None:
+                self._apply_config(change.value, change.revision, source)
             return
         name = parse_member_name(change.key)
         if name is not None:
-            self._apply_member(name, change)
+            self._apply_member(name, change.value, unregistered_ms)
 
-    def _apply_config(self, change: Change, source: str) -> None:
-        if change.value is None:
-            return
+    def _apply_config(self, value: bytes, revision: int, source: str) -> None:
         try:
-            config = decode_config(change.value)
+            config = decode_config(value)
         except DecodeError as error:
-            _log.error("config_rejected", revision=change.revision, detail=str(error))
+            _log.error("config_rejected", revision=revision, detail=str(error))
             return
         if self.config is not None and config.version <= self.config.version:
             return
         self.config = config
+        self._config_value = value
         self.config_loaded.set()
         _log.info(
             "config_in_force",
             version=config.version,
-            revision=change.revision,
+            era=self.mirror.position.era,
+            revision=revision,
             source=source,
             routes=len(config.routes),
             organisations=len(config.organisations),
         )
 
-    def _apply_target(self, target_id: str, change: Change, hold_ms: int) -> None:
-        if change.value is None:
-            if hold_ms > 0:
-                self._held_until_ms[target_id] = self._clock.now_ms() + hold_ms
-                _log.info("target_held", target=target_id, hold_ms=hold_ms)
-                return
-            self._remove_target(target_id, "removed")
-            return
-        self._held_until_ms.pop(target_id, None)
-        try:
-            target = decode_target(target_id, change.value)
-        except DecodeError as error:
-            _log.warning("target_rejected", target=target_id, detail=str(error))
-            self.targets.remove(target_id)
-            return
-        self.targets.put(target, self._clock.now_ms())
-        _log.info(
-            "target_known",
-            target=target_id,
-            service=target.service,
-            failure_domain=target.failure_domain,
-            draining=target.draining,
-            cold_ms=target.cold_for_ms,
-            revision=change.revision,
-        )
-
-    def _remove_target(self, target_id: str, reason: str) -> None:
-        if self.targets.remove(target_id):
-            _log.info("target_gone", target=target_id, why=reason)
-
-    def _apply_member(self, name: str, change: Change) -> None:
-        if change.value is None:
-            self._fleet.record_unregistered(name, self._clock.now_ms())
+    def _apply_member(self, name: str, value: bytes | None, unregistered_ms: int) -> None:
+        if value is None:
+            self._fleet.record_unregistered(name, unregistered_ms)
             return
         try:
-            self._fleet.record_registered(decode_member(change.value))
+            self._fleet.record_registered(decode_member(value))
         except DecodeError as error:
             _log.warning("member_rejected", member=name, detail=str(error))
 
-    def _update_evacuations(self) -> None:
-        domains = frozenset(
+    def _list_evacuated(self) -> frozenset[str]:
+        """Return the failure domains that the store's keys name as evacuated."""
+        return frozenset(
             domain
             for item in self.mirror.list_items()
             if (domain := parse_evacuated_domain(item.key)) is not None
         )
+
+    def _update_evacuations(self) -> None:
+        domains = self._list_evacuated() | self._held_evacuations_until_ms.keys()
+        if domains == self._evacuated:
+            return
+        self._evacuated = domains
         self.targets.set_evacuated(domains, self._clock.now_ms(), self._compute_cold_start_ms())
         _log.info("evacuations", failure_domains=sorted(domains))
 
--- a/src/waxwingshelf/serving/store_watcher.py
+++ b/src/waxwingshelf/serving/store_watcher.py
@@ -4,21 +4,31 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import structlog
 
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.platform.documents import encode_member, make_member_key
-from waxwingshelf.platform.store import StoreClient, StoreError, StoreErrorKind
+from waxwingshelf.platform.store import (
+    Lease,
+    StoreClient,
+    StoreError,
+    StoreErrorKind,
+    WatchBatch,
+)
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.steering.fleet import Fleet, PeerAddress
+from waxwingshelf.steering.mirror import Position
 
 __all__ = ["StoreWatcher"]
 
 _ALL_KEYS = ""
 _WATCH_TIMEOUT_MS = 10_000
+# After a failure, a watch that gets no answer is given up sooner, so that the end of an outage is
+# noticed soon.
+_WATCH_TIMEOUT_AFTER_FAILURE_MS = 500
 # Pause between watch calls, so that changes in quick succession share one call.
 _BATCH_DELAY_S = 0.15
 _RETRY_DELAY_S = 0.25
@@ -51,7 +61,10 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = random.Random(address.name)
-        self._lease: int | None = None
+        self._lease: Lease | None = None
+        self._registered_at = Position()
+        self._watch_interrupted = asyncio.Event()
+        store.on_new_era = self._watch_interrupted.set
         self.on_changes: Callable[[], None] = _ignore_changes
         self._consecutive_failures = 0
         self._first_failure_ms = 0
@@ -65,20 +78,21 @@
         listed = False
         while True:
             try:
-                if not listed:
-                    await self._list_keys()
-                    listed = True
-                if not self._fleet.should_watch_store(self._clock.now_ms()):
+                if listed and not self._fleet.should_watch_store(self._clock.now_ms()):
                     self.watching = False
                     await asyncio.sleep(_WATCH_CHECK_INTERVAL_S)
                     continue
+                if not listed or self._is_store_restored():
+                    await self._list_keys()
+                    listed = True
+                    continue
                 self.watching = True
                 await self._watch()
                 await asyncio.sleep(_BATCH_DELAY_S)
             except StoreError as failure:
                 if failure.kind is StoreErrorKind.COMPACTED:
                     # Not an outage: the store has compacted these revisions; list all keys again.
-                    _log.info("history_gone", after=self._routing_state.mirror.as_of)
+                    _log.info("history_gone", after=self._routing_state.mirror.position.revision)
                     listed = False
                     continue
                 self._record_failure(failure)
@@ -94,31 +108,61 @@
                     self._lease = None
                     continue
                 _log.info("registration_failed", detail=str(failure))
+                if failure.kind is StoreErrorKind.UNKNOWN:
+                    # The same silence may have caught the watch, whose own timeout is much longer.
+                    self._watch_interrupted.set()
             await asyncio.sleep(_RENEW_INTERVAL_S * self._rng.uniform(0.9, 1.1))
 
     async def deregister(self) -> None:
-        """Remove the registration; if that fails, it lasts until the lease expires."""
+        """Remove the registration; if that fails, it lasts until the lease expires.
+
+        The lease is not revoked: after the store came back from an older copy, its id may have been
+        given to another instance.
+        """
         if self._lease is None:
             return
+        key = make_member_key(self._address.name)
         try:
-            await self._store.revoke_lease(self._lease)
+            await self._store.delete(key, self._registered_at)
         except StoreError as failure:
             _log.info("deregistration_failed", detail=str(failure))
 
     async def _list_keys(self) -> None:
         listing = await self._store.list_items(_ALL_KEYS)
         self._record_success("list")
-        self._routing_state.replace(listing.items, listing.as_of, "store")
+        self._routing_state.replace(listing.items, listing.position, "store")
+
+    def _is_store_restored(self) -> bool:
+        """Return whether the store came back from an older copy since the last listing."""
+        return self._store.era > self._routing_state.mirror.position.era
 
     async def _watch(self) -> None:
-        batch = await self._store.watch(
-            _ALL_KEYS, self._routing_state.mirror.as_of, _WATCH_TIMEOUT_MS
+        timeout_ms = (
+            _WATCH_TIMEOUT_AFTER_FAILURE_MS if self._consecutive_failures else _WATCH_TIMEOUT_MS
         )
+        revision = self._routing_state.mirror.position.revision
+        batch = await self._run_interruptible(self._store.watch(_ALL_KEYS, revision, timeout_ms))
         self._record_success("watch")
-        self._routing_state.apply(batch.changes, batch.as_of, "store")
+        if self._is_store_restored():
+            return
+        self._routing_state.apply(batch.changes, batch.position, "store")
         if batch.changes:
             self.on_changes()
 
+    async def _run_interruptible(self, call: Coroutine[None, None, WatchBatch]) -> WatchBatch:
+        """Await a watch; raise `StoreError` if another call shows that it may never be answered."""
+        self._watch_interrupted.clear()
+        watch = asyncio.create_task(call)
+        interrupted = asyncio.create_task(self._watch_interrupted.wait())
+        try:
+            await asyncio.wait({watch, interrupted}, return_when=asyncio.FIRST_COMPLETED)
+            if not watch.done():
+                raise StoreError(StoreErrorKind.UNKNOWN, "watch", "interrupted by another call")
+            return watch.result()
+        finally:
+            interrupted.cancel()
+            watch.cancel()
+
     async def _register_or_renew(self) -> None:
         if self._lease is not None:
             await self._store.renew_lease(self._lease)
@@ -126,10 +170,10 @@
             return
         lease = await self._store.create_lease(_LEASE_TTL_MS)
         key = make_member_key(self._address.name)
-        await self._store.put(key, encode_member(self._address), lease)
+        self._registered_at = await self._store.put(key, encode_member(self._address), lease)
         self._lease = lease
         self._record_success("register")
-        _log.info("registered", lease=lease)
+        _log.info("registered", lease=lease.id, era=lease.era)
 
     def _record_success(self, step: str) -> None:
         self._metrics.store_calls.labels(step, "ok").inc()
--- /dev/null
+++ b/src/waxwingshelf/serving/target_entries.py
@@ -0,0 +1,131 @@
+"""Apply the store's entries of targets to the target registry, and hold back doubtful removals."""
+
+from __future__ import annotations
+
+import structlog
+
+from waxwingshelf.core.clock import Clock
+from waxwingshelf.platform.documents import DecodeError, decode_target, parse_target_id
+from waxwingshelf.steering.mirror import Change
+from waxwingshelf.steering.restored_entries import RestoredEntries
+from waxwingshelf.steering.targets import Target, TargetRegistry, is_mass_removal
+
+__all__ = ["TargetEntries"]
+
+# Entries whose lease expired during a store outage reappear about two seconds after the outage.
+_REMOVAL_HOLD_MS = 2_200
+_log = structlog.get_logger("target_entries")
+
+
+class TargetEntries:
+    """Keep a target registry in line with the entries; a held target is removed after a delay."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.registry = TargetRegistry()
+        self._held_until_ms: dict[str, int] = {}
+        self._store_recovered_ms: int | None = None
+        self._restored_entries = RestoredEntries()
+
+    def record_store_recovered(self) -> None:
+        """Delay removals for a while, since leases may have expired during the outage."""
+        self._store_recovered_ms = self._clock.now_ms()
+
+    def apply(self, changes: list[Change]) -> None:
+        """Apply changes of entries that targets have written; other keys are ignored."""
+        entries = _list_entries(changes)
+        hold_ms = self._compute_hold_ms(sum(change.value is None for _, change in entries))
+        for target_id, change in entries:
+            if change.value is None:
+                self._hold_or_remove(target_id, hold_ms)
+            else:
+                self._put(target_id, change.value, change.revision)
+
+    def apply_restored(self, changes: list[Change]) -> None:
+        """Apply the entries that an older copy of the store shows, or lacks."""
+        self.record_store_recovered()
+        for target_id, change in _list_entries(changes):
+            if change.value is None:
+                self._hold_or_remove(target_id, _REMOVAL_HOLD_MS)
+            else:
+                self._put_restored(target_id, change.value, change.revision)
+
+    def expire(self) -> list[str]:
+        """Remove held targets that did not reappear; return restored ones that are confirmed."""
+        now_ms = self._clock.now_ms()
+        due = [
+            target_id for target_id, until_ms in self._held_until_ms.items() if now_ms >= until_ms
+        ]
+        for target_id in due:
+            del self._held_until_ms[target_id]
+            self._remove(target_id, "lapsed")
+        return self._restored_entries.list_confirmed(now_ms)
+
+    def _compute_hold_ms(self, removed_count: int) -> int:
+        """Return how long to hold removed targets: after a store outage or in a mass removal."""
+        now_ms = self._clock.now_ms()
+        if self._store_recovered_ms is not None:
+            remaining_ms = self._store_recovered_ms + _REMOVAL_HOLD_MS - now_ms
+            if remaining_ms > 0:
+                return remaining_ms
+        if is_mass_removal(removed_count, len(self.registry.list_ids())):
+            return _REMOVAL_HOLD_MS
+        return 0
+
+    def _hold_or_remove(self, target_id: str, hold_ms: int) -> None:
+        self._restored_entries.record_removed(target_id)
+        if hold_ms <= 0:
+            self._remove(target_id, "removed")
+            return
+        self._held_until_ms[target_id] = self._clock.now_ms() + hold_ms
+        _log.info("target_held", target=target_id, hold_ms=hold_ms)
+
+    def _remove(self, target_id: str, reason: str) -> None:
+        if self.registry.remove(target_id):
+            _log.info("target_gone", target=target_id, why=reason)
+
+    def _put(self, target_id: str, value: bytes, revision: int) -> None:
+        self._held_until_ms.pop(target_id, None)
+        target = self._decode(target_id, value)
+        if target is not None:
+            self._use(target, revision)
+
+    def _put_restored(self, target_id: str, value: bytes, revision: int) -> None:
+        target = self._decode(target_id, value)
+        if target is None:
+            return
+        if self._restored_entries.is_outdated(target, self._clock.now_ms()):
+            _log.info("target_outdated", target=target_id, revision=revision)
+            return
+        self._held_until_ms.pop(target_id, None)
+        self._use(target, revision)
+
+    def _decode(self, target_id: str, value: bytes) -> Target | None:
+        try:
+            return decode_target(target_id, value)
+        except DecodeError as error:
+            _log.warning("target_rejected", target=target_id, detail=str(error))
+            self.registry.remove(target_id)
+            return None
+
+    def _use(self, target: Target, revision: int) -> None:
+        self._restored_entries.record(target)
+        self.registry.put(target, self._clock.now_ms())
+        _log.info(
+            "target_known",
+            target=target.id,
+            service=target.service,
+            failure_domain=target.failure_domain,
+            draining=target.draining,
+            cold_ms=target.cold_for_ms,
+            revision=revision,
+        )
+
+
+def _list_entries(changes: list[Change]) -> list[tuple[str, Change]]:
+    """Return the target ids and changes of those changes that concern targets."""
+    return [
+        (target_id, change)
+        for change in changes
+        if (target_id := parse_target_id(change.key)) is not None
+    ]
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -15,6 +15,7 @@
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.steering.limits import compute_rate_share
+from waxwingshelf.steering.mirror import Position
 from waxwingshelf.steering.silent_peers import SilentPeerCap
 
 __all__ = ["Fleet", "Heartbeat", "LoadReport", "Peer", "PeerAddress"]
@@ -62,7 +63,8 @@
     `demand` is in requests per second by organisation. It is empty in a large fleet, where rate
     owners report their demand to each other. `boot` identifies the run of the sender's process; a
     heartbeat is outdated if its (`boot`, `number`) is not greater than the last. `watching` is set
-    if the sender watches the store itself.
+    if the sender watches the store itself. `revision` and `era` are the position of the sender's
+    mirror of the store; `config_version` is the configuration that it uses, or 0.
     """
 
     address: PeerAddress
@@ -72,6 +74,8 @@
     revision: int
     demand: dict[str, float]
     watching: bool = False
+    era: int = 0
+    config_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +98,8 @@
     load_report_number: int = -1
     ready: bool = False
     watching: bool = False
-    revision: int = 0
+    position: Position = field(default_factory=Position)
+    config_version: int = 0
     demand: dict[str, float] = field(default_factory=dict)
     last_heartbeat_ms: int | None = None
     unregistered_at_ms: int | None = None
@@ -123,7 +128,9 @@
             peer.load_report_number = -1
         peer.address = heartbeat.address
         peer.boot, peer.number = heartbeat.boot, heartbeat.number
-        peer.ready, peer.revision = heartbeat.ready, heartbeat.revision
+        peer.ready = heartbeat.ready
+        peer.position = Position(heartbeat.era, heartbeat.revision)
+        peer.config_version = heartbeat.config_version
         peer.demand = heartbeat.demand
         peer.watching = heartbeat.watching
         peer.last_heartbeat_ms = now_ms
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -32,7 +32,7 @@
     """A target's entry; `started_ms` distinguishes two runs of a target under the same id.
 
     `cold_for_ms` is the time for which the target is still cold, that is, limited to the service's
-    `cold_per_s`.
+    `cold_per_s`. `entry_number` increases with each entry that one run of the target writes.
     """
 
     id: str
@@ -45,6 +45,12 @@
     draining: bool
     cold_for_ms: int
     started_ms: int
+    entry_number: int = 0
+
+    @property
+    def entry_version(self) -> tuple[int, int]:
+        """Return a value that increases with each entry that the target writes."""
+        return (self.started_ms, self.entry_number)
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,7 +2,8 @@
 
 It implements revisions, leases, transactions and watches. A fault applies to all callers: calls are
 refused, calls never get a response, or POST requests are executed but never get a response. The
-event history can be compacted.
+event history can be compacted. The store can be restored from an older snapshot, which begins a new
+era.
 """
 
 from __future__ import annotations
@@ -18,10 +19,11 @@
 
 from aiohttp import web
 
-__all__ = ["PlatformStoreStandIn", "StoreFault"]
+__all__ = ["PlatformStoreStandIn", "StoreFault", "StoreSnapshot"]
 
 _MS_PER_S = 1_000
 _LEASE_CHECK_INTERVAL_S = 0.05
+_ERA_HEADER = "Store-Era"
 
 
 class StoreFault(StrEnum):
@@ -48,6 +50,16 @@
     item: _Item | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreSnapshot:
+    """A copy of the store's data at one revision, without the history."""
+
+    revision: int
+    items: dict[str, _Item]
+    lease_deadlines: dict[int, float]
+    lease_ttls_s: dict[int, float]
+
+
 @dataclass
 class PlatformStoreStandIn:
     """Hold the store's state and serve its HTTP API.
@@ -57,6 +69,7 @@
     """
 
     fault: StoreFault = StoreFault.NONE
+    era: int = 1
     revision: int = 1
     calls: int = 0
     items: dict[str, _Item] = field(default_factory=dict)
@@ -85,6 +98,26 @@
         self.compacted_revision = self.revision
         self.events.clear()
 
+    def take_snapshot(self) -> StoreSnapshot:
+        """Return a copy of the current data."""
+        return StoreSnapshot(
+            self.revision,
+            dict(self.items),
+            dict(self.lease_deadlines),
+            dict(self.lease_ttls_s),
+        )
+
+    def restore(self, snapshot: StoreSnapshot) -> None:
+        """Come back with the data of a snapshot; revisions and lease ids are given out again."""
+        self.era += 1
+        self.revision = snapshot.revision
+        self.items = dict(snapshot.items)
+        self.lease_deadlines = dict(snapshot.lease_deadlines)
+        self.lease_ttls_s = dict(snapshot.lease_ttls_s)
+        self.events.clear()
+        self.compacted_revision = snapshot.revision
+        self._wake_watches()
+
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(middlewares=[self._apply_fault])
@@ -114,12 +147,13 @@
     ) -> web.StreamResponse:
         self.calls += 1
         if self.fault is StoreFault.REFUSE:
-            return web.Response(status=503)
+            return web.Response(status=503, headers={_ERA_HEADER: str(self.era)})
         if self.fault is StoreFault.SILENT:
             await asyncio.sleep(3_600)
         response = await handler(request)
         if self.fault is StoreFault.LOSE_ANSWERS and request.method == "POST":
             await asyncio.sleep(3_600)
+        response.headers[_ERA_HEADER] = str(self.era)
         return response
 
     def _write(self, key: str, value: str, lease: int) -> None:
@@ -131,6 +165,9 @@
 
     def _append_event(self, event: _Event) -> None:
         self.events.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -157,7 +194,7 @@
         prefix, after = request.query["path_prefix"], int(request.query["after"])
         end = time.monotonic() + int(request.query["wait_ms"]) / _MS_PER_S
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return web.Response(status=410)
             events = [
                 self._encode_event(event)
--- a/tests/serving/test_path.py
+++ b/tests/serving/test_path.py
@@ -249,7 +249,7 @@
             lambda: len(instances[0]._fleet.list_ready(instances[0]._clock.now_ms()))
         )
         routing_state = instances[0]._routing_state
-        revision_before = routing_state.mirror.as_of
+        revision_before = routing_state.mirror.position
 
         async def fail_if_called(*_args):
             raise AssertionError("not reached")
@@ -259,7 +259,7 @@
         instances[0]._routing_state.replace = _drop_from_store(instances[0]._routing_state.replace)
         deployment.register("t1", state="draining")
         await deployment.wait_until(lambda: routing_state.targets.list_usable("work") == [])
-        assert routing_state.mirror.as_of > revision_before
+        assert routing_state.mirror.position > revision_before
 
     run_scenario(scenario)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -85,6 +85,8 @@
     last_fault_s: float = 0.0
     removal_times_s: dict[int, float] = field(default_factory=dict)
     config_version: int = 1
+    entry_number: int = 0
+    entry_states: dict[int, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the seeded random generator."""
@@ -101,7 +103,7 @@
         lease_task = asyncio.create_task(self.store.run())
         try:
             await self._start_targets()
-            self._put_config()
+            self._change_config_now()
             for number in range(INSTANCES):
                 self._add_instance(number, ports)
             async with aiohttp.ClientSession() as session:
@@ -134,18 +136,23 @@
             self._register(number)
 
     def _register(self, number: int, state: str = "ready") -> None:
+        self.entry_number += 1
+        self.entry_states[number] = state
         zone = list(REGIONS)[number % len(REGIONS)]
         self.store.put(
             f"servers/t{number}",
             {
                 "address": f"{HOST}:{self.target_proxies[number].port}",
                 "information": {"service": "work", "zone": zone, "slots": 8},
-                "status": {"state": state, "sequence": 1, "cold_remaining_ms": 0},
+                "status": {"state": state, "sequence": self.entry_number, "cold_remaining_ms": 0},
             },
         )
 
+    def _deregister(self, number: int) -> None:
+        self.entry_states.pop(number, None)
+        self.store.delete(f"servers/t{number}")
+
     def _put_config(self) -> None:
-        self.config_version += 1
         rules = [
             {
                 "name": name,
@@ -265,6 +272,7 @@
             self._change_response_mode,
             self._remove_target,
             self._change_config,
+            self._restore_store,
         ]
         while time.monotonic() < end:
             await self.rng.choice(faults)()
@@ -317,7 +325,7 @@
         if self.rng.random() < 0.5:
             self._register(number, "draining")
         else:
-            self.store.delete(f"servers/t{number}")
+            self._deregister(number)
         removed_s = self.removal_times_s[number] = time.monotonic()
         await asyncio.sleep(DRAIN_WAIT_MS / 1_000 + 0.3)
         count_before = len(self.targets[number].request_heads)
@@ -329,8 +337,30 @@
         del self.removal_times_s[number]
 
     async def _change_config(self) -> None:
+        self._change_config_now()
+
+    def _change_config_now(self) -> None:
+        self.config_version += 1
         self._put_config()
 
+    async def _restore_store(self) -> None:
+        """Let the store be away, come back from an older copy, and be written to again."""
+        snapshot = self.store.take_snapshot()
+        await asyncio.sleep(self.rng.uniform(0.0, 3.0))
+        self.last_fault_s = time.monotonic()
+        self.store_proxy.set_fault(LinkFault.RESET)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.store.restore(snapshot)
+        self.store_proxy.set_fault(LinkFault.NONE)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.5))
+        self._put_config()
+        for number in range(TARGETS):
+            if number in self.entry_states:
+                self._register(number, self.entry_states[number])
+            else:
+                self._deregister(number)
+        self.last_fault_s = time.monotonic()
+
     def _signal(self, process: Process, signal_number: int) -> None:
         if process.child is not None and process.child.poll() is None:
             process.expected_exit = True
