Rank targets alike at all instances of a region

Ruled out as cause of most other first runs: copies in other regions (an object's callers are all in one region; no first run was of that kind). Change: no weight for the own failure domain.

--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -2,10 +2,10 @@
 
 A request runs several times faster at a target that has recently handled the same object: the
 object is warm there. At peak load, the slots suffice only if requests find their object warm. All
-instances therefore rank the targets of an object in the same way, by weighted rendezvous hashing
-(Schindelhauer and Schomaker, 2005), with higher weights for targets near the instance. An instance
-departs from that order only if the expected time at a lower-ranked target, including a cold run, is
-shorter.
+instances of a region therefore rank the targets of an object in the same way, by weighted
+rendezvous hashing (Schindelhauer and Schomaker, 2005), with higher weights for targets of the
+region. An instance departs from that order only if the expected time at a lower-ranked target,
+including a cold run, is shorter.
 """
 
 from __future__ import annotations
@@ -24,7 +24,6 @@
 # The weight of local targets is chosen so that local requests fill about this fraction of the local
 # slots at full load, assuming that demand is equal in all regions.
 _LOCAL_FILL_FRACTION = 0.8
-_SAME_DOMAIN_WEIGHT = 1.5
 _MAX_CACHED_RANKINGS = 4_096
 # A failed attempt costs the caller about this many times the latency objective: the retry and its
 # cold run.
@@ -191,8 +190,6 @@
         weight = float(target.slots)
         if self._is_local(state):
             weight *= local_weight
-        if target.failure_domain == self._locality.failure_domain:
-            weight *= _SAME_DOMAIN_WEIGHT
         return -weight / math.log(hash_to_unit_interval(target.service, object_key, target.id))
 
 
