Let changes in quick succession share more watch calls

Change: 0.35 s between watches (0.15 s), and a peer that is ahead is read after 0.65 s (0.4 s). A change after a quiet time still arrives at once.

--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -53,7 +53,7 @@
 _FAR_LOAD_REPORT_PERIOD = 3
 _PULL_TIMEOUT_S = 1.0
 # A watch of the store nearly always delivers changes sooner than this.
-_MAX_LAG_MS = 400
+_MAX_LAG_MS = 650
 _KEEPALIVE_S = 10.0
 _COMPRESSION_LEVEL = 1
 _log = structlog.get_logger("peers")
--- a/src/waxwingshelf/serving/store_watcher.py
+++ b/src/waxwingshelf/serving/store_watcher.py
@@ -30,7 +30,7 @@
 # noticed soon.
 _WATCH_TIMEOUT_AFTER_FAILURE_MS = 500
 # Pause between watch calls, so that changes in quick succession share one call.
-_BATCH_DELAY_S = 0.15
+_BATCH_DELAY_S = 0.35
 _RETRY_DELAY_S = 0.25
 # How often an instance that relies on other watchers checks whether it must watch itself.
 _WATCH_CHECK_INTERVAL_S = 0.25
