--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -260,6 +260,7 @@
         slots=attempt.state.target.slots,
         cost_ms=int(attempt.placement.cost_ms),
         elapsed_ms=now_ms - started_ms,
+        objective_ms=exchange.route.latency_objective_ms,
     )
 
 
