Hear a peer that restarts after its clock jumped back

Cause, found in reading: a boot is the time of day at the start. Change: a lower boot counts once the peer has been silent for the heartbeat timeout. Test: fails without the change.

--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -120,12 +120,18 @@
         self.last_store_contact_ms: int | None = None
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
-        """Apply a heartbeat; return False if it is outdated or this instance's own."""
+        """Apply a heartbeat; return False if it is outdated or this instance's own.
+
+        The time of day may have jumped back between two starts of a peer. Its new boot is then
+        lower than the last one, and counts once the peer has been silent.
+        """
         name = heartbeat.address.name
         if name == self._name:
             return False
         peer = self._peers.setdefault(name, Peer(heartbeat.address))
-        if (heartbeat.boot, heartbeat.number) <= (peer.boot, peer.number):
+        is_older = (heartbeat.boot, heartbeat.number) <= (peer.boot, peer.number)
+        is_restarted = heartbeat.boot < peer.boot and not self.has_recent_heartbeat(peer, now_ms)
+        if is_older and not is_restarted:
             return False
         if heartbeat.boot != peer.boot:
             peer.load_report_number = -1
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from waxwingshelf.steering.fleet import Fleet, Heartbeat, PeerAddress
+from waxwingshelf.steering.fleet import Fleet, Heartbeat, LoadReport, PeerAddress
 from waxwingshelf.steering.limits import ColdTargetLimiter, RateBucket, RetryBudget
 
 SECOND_MS = 1_000
@@ -117,6 +117,18 @@
     assert fleet.list_ready(1_300) == []
 
 
+def test_peer_that_restarts_after_its_clock_jumped_back_is_heard() -> None:
+    fleet = Fleet("a", 0)
+    address = make_address("b")
+    later_boot, earlier_boot = 5_000, 2_000
+    assert fleet.record_heartbeat(Heartbeat(address, later_boot, 9, True, 1, {}), 0)
+    restarted = Heartbeat(address, earlier_boot, 1, True, 1, {})
+    assert not fleet.record_heartbeat(restarted, 1_000)
+    assert fleet.record_heartbeat(restarted, 1_300)
+    assert not fleet.record_heartbeat(Heartbeat(address, earlier_boot, 1, True, 1, {}), 1_400)
+    assert fleet.record_load_report(LoadReport("b", earlier_boot, 1, {}))
+
+
 @pytest.mark.parametrize("shift_s", [1, 2, 3])
 def test_fleet_keeps_the_rate_while_demand_moves(shift_s: int) -> None:
     """The demand of an organisation, eight times the usual, moves from one instance to another.
