Split the soak's deployment from its faults and checks

Change: stand-ins, proxies and processes are tests/soak/deployment.py; faults, seeds, draws and checks are as they were.

--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,208 @@
+"""The stand-ins, proxies and instance processes of a soak run."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from aiohttp import web
+
+from standins.platform_store import PlatformStoreStandIn
+from standins.platform_target import PlatformTargetStandIn
+from tests.soak.proxy import Proxy
+from tools.processes import find_ports
+
+__all__ = ["HOST", "INSTANCES", "TARGETS", "Process", "SoakDeployment"]
+
+HOST = "127.0.0.1"
+REGIONS = {"north-1": "north", "south-1": "south"}
+INSTANCES = 4
+TARGETS = 4
+
+
+@dataclass(slots=True)
+class Process:
+    """The process of one instance with its address, settings file and log file."""
+
+    name: str
+    host: str
+    ports: list[int]
+    settings: Path
+    log: Path
+    child: subprocess.Popen[bytes] | None = None
+    expected_exit: bool = False
+
+
+@dataclass
+class SoakDeployment:
+    """A store and targets behind proxies, and processes that are signalled only here.
+
+    `entry_states` has the state of each target's entry that should be in the store.
+    """
+
+    folder: Path
+    store: PlatformStoreStandIn = field(default_factory=PlatformStoreStandIn)
+    targets: list[PlatformTargetStandIn] = field(default_factory=list)
+    target_proxies: list[Proxy] = field(default_factory=list)
+    processes: list[Process] = field(default_factory=list)
+    config_version: int = 1
+    entry_number: int = 0
+    entry_states: dict[int, str] = field(default_factory=dict)
+    _runners: list[web.AppRunner] = field(default_factory=list)
+    _store_proxies: list[Proxy] = field(default_factory=list)
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start the store, the targets and the instances."""
+        runner = web.AppRunner(self.store.build_app(), shutdown_timeout=0.1)
+        self._runners.append(runner)
+        store_port, *ports = find_ports(1 + 6)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, store_port).start()
+        self.store_proxy = Proxy(HOST, store_port)
+        self._store_proxies.append(self.store_proxy)
+        await self.store_proxy.start(HOST)
+        self._tasks.append(asyncio.create_task(self.store.run()))
+        await self._start_targets()
+        self.change_config()
+        for number in range(INSTANCES):
+            self._add_instance(number, ports)
+
+    async def stop(self) -> None:
+        """Stop everything that was started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for process in self.processes:
+            if process.child is not None and process.child.poll() is None:
+                process.child.send_signal(signal.SIGCONT)
+                process.child.kill()
+                process.child.wait()
+        for proxy in [*self.target_proxies, *self._store_proxies]:
+            proxy.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _start_targets(self) -> None:
+        for number in range(TARGETS):
+            target = PlatformTargetStandIn(f"t{number}", work_s=0.02)
+            await target.start(HOST)
+            proxy = Proxy(HOST, target.port)
+            await proxy.start(HOST)
+            self.targets.append(target)
+            self.target_proxies.append(proxy)
+            self.register(number)
+
+    def register(self, number: int, state: str = "ready") -> None:
+        """Write a target's entry."""
+        self.entry_number += 1
+        self.entry_states[number] = state
+        zone = list(REGIONS)[number % len(REGIONS)]
+        self.store.put(
+            f"servers/t{number}",
+            {
+                "address": f"{HOST}:{self.target_proxies[number].port}",
+                "information": {"service": "work", "zone": zone, "slots": 8},
+                "status": {"state": state, "sequence": self.entry_number, "cold_remaining_ms": 0},
+            },
+        )
+
+    def deregister(self, number: int) -> None:
+        """Remove a target's entry."""
+        self.entry_states.pop(number, None)
+        self.store.delete(f"servers/t{number}")
+
+    def write_again(self) -> None:
+        """Let the operators and the targets write what the store may have lost."""
+        self._put_config()
+        for number in range(TARGETS):
+            if number in self.entry_states:
+                self.register(number, self.entry_states[number])
+            else:
+                self.deregister(number)
+
+    def _put_config(self) -> None:
+        rules = [
+            {
+                "name": name,
+                "kind": kind,
+                "target_latency_ms": 300,
+                "priority": 1,
+                "sticky": True,
+                "match": {"path_prefix": f"/{name}/"},
+                "action": {"service": "work", "timeout_ms": 1_000, "attempts": 2},
+            }
+            for name, kind in (("read", "safe"), ("order", "unsafe"))
+        ]
+        tenant = {"name": "acme", "api_keys": ["key"], "rate_per_s": 5_000, "burst": 5_000}
+        config = {"version": f"r{self.config_version}", "tenants": [tenant]}
+        config["listeners"] = [{"host": "a.example", "rules": rules}]
+        config["clusters"] = [{"name": "work"}]
+        self.store.put("op/config", config)
+
+    def _add_instance(self, number: int, ports: list[int]) -> None:
+        host = f"127.0.7.{number + 1}"
+        zone = list(REGIONS)[number % len(REGIONS)]
+        settings = self.folder / f"n{number}.toml"
+        seeds = ", ".join(f'"127.0.7.{other + 1}:{ports[3]}"' for other in range(INSTANCES))
+        zones = "\n".join(f'{name} = "{region}"' for name, region in REGIONS.items())
+        settings.write_text(f"""[self]
+node_name = "n{number}"
+zone = "{zone}"
+region = "{REGIONS[zone]}"
+[network]
+internal_ports = [{ports[4]}, {ports[5]}]
+seed_nodes = [{seeds}]
+[network.listen]
+frontend = "{host}:{ports[0]}"
+ready = "{host}:{ports[1]}"
+directory = "{host}:{ports[2]}"
+control_plane = "{host}:{ports[3]}"
+[network.zones]
+{zones}
+[platform.platform]
+address = "{HOST}:{self.store_proxy.port}"
+[terms.bounds]
+grace_period_s = 4
+""")
+        process = Process(f"n{number}", host, ports, settings, self.folder / f"n{number}.log")
+        self.processes.append(process)
+        self._start(process)
+
+    def _start(self, process: Process) -> None:
+        process.expected_exit = False
+        environment = {"PYTHONPATH": "src", "WAXWINGSHELF_SETTINGS": str(process.settings)}
+        with process.log.open("ab") as log:
+            process.child = subprocess.Popen(
+                [sys.executable, "-m", "waxwingshelf.serving"],
+                env={**os.environ, **environment},
+                stdout=log,
+                stderr=log,
+            )
+
+    def change_config(self) -> None:
+        """Write a new version of the configuration."""
+        self.config_version += 1
+        self._put_config()
+
+    def send_signal(self, process: Process, signal_number: int) -> None:
+        """Send a signal that may end a process, if it runs."""
+        if process.child is not None and process.child.poll() is None:
+            process.expected_exit = True
+            process.child.send_signal(signal_number)
+
+    def restart_exited(self) -> list[Process]:
+        """Start the processes that have exited; return those that did so unexpectedly."""
+        unexpected: list[Process] = []
+        for process in self.processes:
+            if process.child is None or process.child.poll() is None:
+                continue
+            if not process.expected_exit:
+                unexpected.append(process)
+            self._start(process)
+        return unexpected
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,10 +11,8 @@
 import argparse
 import asyncio
 import contextlib
-import os
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -24,17 +22,11 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import web
 
-from standins.platform_store import PlatformStoreStandIn
-from standins.platform_target import PlatformTargetStandIn, ResponseMode
+from standins.platform_target import ResponseMode
+from tests.soak.deployment import INSTANCES, TARGETS, Process, SoakDeployment
 from tests.soak.proxy import LinkFault, Proxy
-from tools.processes import find_ports
 
-HOST = "127.0.0.1"
-REGIONS = {"north-1": "north", "south-1": "south"}
-INSTANCES = 4
-TARGETS = 4
 CLIENTS = 12
 FAULT_PHASE_S = 8.0
 RECOVERY_S = 15.0
@@ -51,19 +43,6 @@
     detail: str
 
 
-@dataclass(slots=True)
-class Process:
-    """The process of one instance with its address, settings file and log file."""
-
-    name: str
-    host: str
-    ports: list[int]
-    settings: Path
-    log: Path
-    child: subprocess.Popen[bytes] | None = None
-    expected_exit: bool = False
-
-
 @dataclass
 class SoakRun:
     """One soak run with one seed.
@@ -74,19 +53,12 @@
     """
 
     seed: int
-    folder: Path
-    store: PlatformStoreStandIn = field(default_factory=PlatformStoreStandIn)
-    targets: list[PlatformTargetStandIn] = field(default_factory=list)
-    target_proxies: list[Proxy] = field(default_factory=list)
-    processes: list[Process] = field(default_factory=list)
+    deployment: SoakDeployment
     violations: list[Violation] = field(default_factory=list)
     statuses: dict[str, int] = field(default_factory=dict)
     unsafe_ids: set[str] = field(default_factory=set)
     last_fault_s: float = 0.0
     removal_times_s: dict[int, float] = field(default_factory=dict)
-    config_version: int = 1
-    entry_number: int = 0
-    entry_states: dict[int, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the seeded random generator."""
@@ -94,18 +66,8 @@
 
     async def run(self) -> list[Violation]:
         """Run the soak and return the violations."""
-        runner = web.AppRunner(self.store.build_app(), shutdown_timeout=0.1)
-        store_port, *ports = find_ports(1 + 6)
-        await runner.setup()
-        await web.TCPSite(runner, HOST, store_port).start()
-        self.store_proxy = Proxy(HOST, store_port)
-        await self.store_proxy.start(HOST)
-        lease_task = asyncio.create_task(self.store.run())
         try:
-            await self._start_targets()
-            self._change_config_now()
-            for number in range(INSTANCES):
-                self._add_instance(number, ports)
+            await self.deployment.start()
             async with aiohttp.ClientSession() as session:
                 await self._wait_until_served(session)
                 await self._run_fault_phase(session)
@@ -113,9 +75,7 @@
             self._check_runs()
             return self.violations
         finally:
-            lease_task.cancel()
-            self._stop_all()
-            await runner.cleanup()
+            await self.deployment.stop()
 
     async def _run_fault_phase(self, session: aiohttp.ClientSession) -> None:
         clients = [asyncio.create_task(self._run_client(session)) for _ in range(CLIENTS)]
@@ -125,104 +85,9 @@
             client.cancel()
         await asyncio.gather(*clients, return_exceptions=True)
 
-    async def _start_targets(self) -> None:
-        for number in range(TARGETS):
-            target = PlatformTargetStandIn(f"t{number}", work_s=0.02)
-            await target.start(HOST)
-            proxy = Proxy(HOST, target.port)
-            await proxy.start(HOST)
-            self.targets.append(target)
-            self.target_proxies.append(proxy)
-            self._register(number)
-
-    def _register(self, number: int, state: str = "ready") -> None:
-        self.entry_number += 1
-        self.entry_states[number] = state
-        zone = list(REGIONS)[number % len(REGIONS)]
-        self.store.put(
-            f"servers/t{number}",
-            {
-                "address": f"{HOST}:{self.target_proxies[number].port}",
-                "information": {"service": "work", "zone": zone, "slots": 8},
-                "status": {"state": state, "sequence": self.entry_number, "cold_remaining_ms": 0},
-            },
-        )
-
-    def _deregister(self, number: int) -> None:
-        self.entry_states.pop(number, None)
-        self.store.delete(f"servers/t{number}")
-
-    def _put_config(self) -> None:
-        rules = [
-            {
-                "name": name,
-                "kind": kind,
-                "target_latency_ms": 300,
-                "priority": 1,
-                "sticky": True,
-                "match": {"path_prefix": f"/{name}/"},
-                "action": {"service": "work", "timeout_ms": 1_000, "attempts": 2},
-            }
-            for name, kind in (("read", "safe"), ("order", "unsafe"))
-        ]
-        tenant = {"name": "acme", "api_keys": ["key"], "rate_per_s": 5_000, "burst": 5_000}
-        config = {"version": f"r{self.config_version}", "tenants": [tenant]}
-        config["listeners"] = [{"host": "a.example", "rules": rules}]
-        config["clusters"] = [{"name": "work"}]
-        self.store.put("op/config", config)
-
-    def _add_instance(self, number: int, ports: list[int]) -> None:
-        host = f"127.0.7.{number + 1}"
-        zone = list(REGIONS)[number % len(REGIONS)]
-        settings = self.folder / f"n{number}.toml"
-        seeds = ", ".join(f'"127.0.7.{other + 1}:{ports[3]}"' for other in range(INSTANCES))
-        zones = "\n".join(f'{name} = "{region}"' for name, region in REGIONS.items())
-        settings.write_text(f"""[self]
-node_name = "n{number}"
-zone = "{zone}"
-region = "{REGIONS[zone]}"
-[network]
-internal_ports = [{ports[4]}, {ports[5]}]
-seed_nodes = [{seeds}]
-[network.listen]
-frontend = "{host}:{ports[0]}"
-ready = "{host}:{ports[1]}"
-directory = "{host}:{ports[2]}"
-control_plane = "{host}:{ports[3]}"
-[network.zones]
-{zones}
-[platform.platform]
-address = "{HOST}:{self.store_proxy.port}"
-[terms.bounds]
-grace_period_s = 4
-""")
-        process = Process(f"n{number}", host, ports, settings, self.folder / f"n{number}.log")
-        self.processes.append(process)
-        self._start(process)
-
-    def _start(self, process: Process) -> None:
-        process.expected_exit = False
-        environment = {"PYTHONPATH": "src", "WAXWINGSHELF_SETTINGS": str(process.settings)}
-        with process.log.open("ab") as log:
-            process.child = subprocess.Popen(
-                [sys.executable, "-m", "waxwingshelf.serving"],
-                env={**os.environ, **environment},
-                stdout=log,
-                stderr=log,
-            )
-
-    def _stop_all(self) -> None:
-        for process in self.processes:
-            if process.child is not None and process.child.poll() is None:
-                process.child.send_signal(signal.SIGCONT)
-                process.child.kill()
-                process.child.wait()
-        for proxy in [*self.target_proxies, self.store_proxy]:
-            proxy.stop()
-
     async def _run_client(self, session: aiohttp.ClientSession) -> None:
         while True:
-            process = self.rng.choice(self.processes)
+            process = self.rng.choice(self.deployment.processes)
             unsafe = self.rng.random() < 0.5
             await self._send_request(session, process, unsafe)
             await asyncio.sleep(0.01)
@@ -280,17 +145,18 @@
 
     async def _kill_processes(self) -> None:
         self.last_fault_s = time.monotonic()
-        for process in self.rng.sample(self.processes, self.rng.choice((1, 1, INSTANCES))):
-            self._signal(process, signal.SIGKILL)
+        count = self.rng.choice((1, 1, INSTANCES))
+        for process in self.rng.sample(self.deployment.processes, count):
+            self.deployment.send_signal(process, signal.SIGKILL)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         self._restart_exited()
 
     async def _terminate_process(self) -> None:
-        self._signal(self.rng.choice(self.processes), signal.SIGTERM)
+        self.deployment.send_signal(self.rng.choice(self.deployment.processes), signal.SIGTERM)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
 
     async def _pause_process(self) -> None:
-        process = self.rng.choice(self.processes)
+        process = self.rng.choice(self.deployment.processes)
         if process.child is None or process.child.poll() is not None:
             return
         self.last_fault_s = time.monotonic()
@@ -300,10 +166,10 @@
         self.last_fault_s = time.monotonic()
 
     async def _inject_target_link_fault(self) -> None:
-        await self._inject_link_fault(self.rng.choice(self.target_proxies))
+        await self._inject_link_fault(self.rng.choice(self.deployment.target_proxies))
 
     async def _inject_store_link_fault(self) -> None:
-        await self._inject_link_fault(self.store_proxy)
+        await self._inject_link_fault(self.deployment.store_proxy)
 
     async def _inject_link_fault(self, proxy: Proxy) -> None:
         self.last_fault_s = time.monotonic()
@@ -313,7 +179,7 @@
         self.last_fault_s = time.monotonic()
 
     async def _change_response_mode(self) -> None:
-        target = self.rng.choice(self.targets)
+        target = self.rng.choice(self.deployment.targets)
         target.response_mode = self.rng.choice(list(ResponseMode))
         await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         target.response_mode = ResponseMode.NORMAL
@@ -323,72 +189,52 @@
         if self.removal_times_s:
             return
         if self.rng.random() < 0.5:
-            self._register(number, "draining")
+            self.deployment.register(number, "draining")
         else:
-            self._deregister(number)
+            self.deployment.deregister(number)
         removed_s = self.removal_times_s[number] = time.monotonic()
         await asyncio.sleep(DRAIN_WAIT_MS / 1_000 + 0.3)
-        count_before = len(self.targets[number].request_heads)
+        count_before = len(self.deployment.targets[number].request_heads)
         await asyncio.sleep(0.7)
         no_recent_fault = self.last_fault_s < removed_s - QUIET_PERIOD_S
-        if no_recent_fault and len(self.targets[number].request_heads) > count_before:
+        if no_recent_fault and len(self.deployment.targets[number].request_heads) > count_before:
             self._add_violation("a removed target receives no new requests", f"t{number}")
-        self._register(number)
+        self.deployment.register(number)
         del self.removal_times_s[number]
 
     async def _change_config(self) -> None:
-        self._change_config_now()
-
-    def _change_config_now(self) -> None:
-        self.config_version += 1
-        self._put_config()
+        self.deployment.change_config()
 
     async def _restore_store(self) -> None:
         """Let the store be away, come back from an older copy, and be written to again."""
-        snapshot = self.store.take_snapshot()
+        snapshot = self.deployment.store.take_snapshot()
         await asyncio.sleep(self.rng.uniform(0.0, 3.0))
         self.last_fault_s = time.monotonic()
-        self.store_proxy.set_fault(LinkFault.RESET)
+        self.deployment.store_proxy.set_fault(LinkFault.RESET)
         await asyncio.sleep(self.rng.uniform(0.0, 1.0))
-        self.store.restore(snapshot)
-        self.store_proxy.set_fault(LinkFault.NONE)
+        self.deployment.store.restore(snapshot)
+        self.deployment.store_proxy.set_fault(LinkFault.NONE)
         await asyncio.sleep(self.rng.uniform(0.0, 1.5))
-        self._put_config()
-        for number in range(TARGETS):
-            if number in self.entry_states:
-                self._register(number, self.entry_states[number])
-            else:
-                self._deregister(number)
+        self.deployment.write_again()
         self.last_fault_s = time.monotonic()
 
-    def _signal(self, process: Process, signal_number: int) -> None:
-        if process.child is not None and process.child.poll() is None:
-            process.expected_exit = True
-            process.child.send_signal(signal_number)
-
     def _restart_exited(self) -> None:
-        for process in self.processes:
-            if process.child is None or process.child.poll() is None:
-                continue
-            if not process.expected_exit:
-                self._add_violation(
-                    "no process exits unexpectedly", f"{process.name}: {process.log}"
-                )
-            self._start(process)
+        for process in self.deployment.restart_exited():
+            self._add_violation("no process exits unexpectedly", f"{process.name}: {process.log}")
 
     async def _wait_until_served(self, session: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(RECOVERY_S):
-            for process in self.processes:
+            for process in self.deployment.processes:
                 while await self._send_request(session, process, unsafe=False) != 200:
                     await asyncio.sleep(0.1)
 
     async def _check_recovery(self, session: aiohttp.ClientSession) -> None:
         """Check that every instance serves again after the last fault."""
-        for target in self.targets:
+        for target in self.deployment.targets:
             target.response_mode = ResponseMode.NORMAL
         await asyncio.sleep(0.2)
         deadline = time.monotonic() + RECOVERY_S
-        for process in self.processes:
+        for process in self.deployment.processes:
             while await self._send_request(session, process, unsafe=False) != 200:
                 self._restart_exited()
                 if time.monotonic() > deadline:
@@ -398,7 +244,7 @@
 
     def _check_runs(self) -> None:
         runs: Counter[str] = Counter()
-        for target in self.targets:
+        for target in self.deployment.targets:
             runs.update(target.runs)
         for request_id, status in self.statuses.items():
             if request_id in self.unsafe_ids and runs[request_id] > 1:
@@ -418,7 +264,7 @@
 
 def run_seed(seed: int, folder: Path) -> tuple[list[Violation], dict[str, Any]]:
     """Run the soak with a seed; return the violations and the number of requests by status."""
-    soak = SoakRun(seed, folder)
+    soak = SoakRun(seed, SoakDeployment(folder))
     violations = asyncio.run(soak.run())
     return violations, dict(Counter(soak.statuses.values()))
 
