--- a/tools/journal_plots.py
+++ b/tools/journal_plots.py
@@ -26,8 +26,6 @@
 _OTHER_PRICES = "other prices"
 _BAR_WIDTH = 0.38
 _FIGURE_INCHES = (8.0, 4.5)
-# With these, the same entries give the same bytes.
-_SVG_SETTINGS = {"svg.hashsalt": "waxwingshelf", "svg.fonttype": "none"}
 
 
 class _Day(msgspec.Struct):
@@ -70,7 +68,8 @@
     pairs = [(day, later[day.name]) for day in before.days if day.name in later]
     figure = Figure(figsize=_FIGURE_INCHES)
     axes = figure.subplots()
-    colors = matplotlib.color_sequences["tab10"]
+    # Colours of the default cycle of matplotlib.
+    colors = [f"C{number}" for number in range(2 + len(_PRICE_NAMES) + 1)]
     for side, label in enumerate((f"before ({before.id})", f"after ({after.id})")):
         days = [pair[side] for pair in pairs]
         positions = [number + (side - 0.5) * _BAR_WIDTH for number in range(len(days))]
@@ -83,7 +82,8 @@
     axes.axhline(0.0, color="black", linewidth=0.8)
     axes.legend(fontsize="x-small", ncols=2)
     figure.tight_layout()
-    with matplotlib.rc_context(_SVG_SETTINGS):
+    # The salt makes the ids in the file the same each time.
+    with matplotlib.rc_context({"svg.hashsalt": "waxwingshelf", "svg.fonttype": "none"}):
         figure.savefig(path, format="svg", metadata={"Date": None})
 
 
@@ -91,7 +91,7 @@
     axes: Axes,
     positions: list[float],
     prices: list[dict[str, float]],
-    colors: list[tuple[float, float, float]],
+    colors: list[str],
     with_labels: bool,
 ) -> None:
     bottoms = [0.0] * len(positions)
