--- a/tests/serving/test_store_restore.py
+++ b/tests/serving/test_store_restore.py
@@ -8,7 +8,6 @@
 from standins.platform_store import StoreFault
 from tests.serving.conftest import CONFIG
 
-
 # Calm instances are in touch 3 s after an outage; a configuration then has 2.5 s.
 STABLE_AND_APPLIED_S = 5.5
 
