Decode what targets say of themselves in the adapter

Cause: headers of targets' responses were decoded in serving/upstream.py, some inline, and each new one needed its own field in two results. What a target says was taken over only after its whole body had been read. Change: platform/target_responses.py decodes a response's head into one TargetReport (load, limit, leaving, pause, idle timeout); nothing is read from a response that may belong to another request or target. It is handed over once the head is read, so that a body that breaks off or a caller that leaves does not lose it. leaving, pause and idle timeout are not used yet. Ruled out: a change of the load estimate; the answered request is left out of the count as before.

--- a/src/waxwingshelf/platform/names.py
+++ b/src/waxwingshelf/platform/names.py
@@ -9,6 +9,8 @@
     "DEADLINE_HEADER",
     "EVACUATION_PREFIX",
     "EXPECTED_TARGET_HEADER",
+    "IDLE_TIMEOUT_HEADER",
+    "LEAVING_HEADER",
     "LOAD_HEADER",
     "MEMBER_PREFIX",
     "NOT_RUN_HEADER",
@@ -18,6 +20,7 @@
     "REQUEST_ID_HEADER",
     "RESOLVE_PATH",
     "RESPONDING_TARGET_HEADER",
+    "RETRY_AFTER_HEADER",
     "SETTINGS_VARIABLE",
     "SIGNATURE_HEADER",
     "STORE_ERA_HEADER",
@@ -38,6 +41,12 @@
 # The requests per second that a target accepts from all instances together.
 RATE_LIMIT_HEADER = "Server-Limit"
 NOT_RUN_HEADER = "Not-Executed"
+# "1" in all responses of a target whose run will end.
+LEAVING_HEADER = "Server-Leaving"
+# In a 503 of a target: the seconds for which it accepts no requests from this instance.
+RETRY_AFTER_HEADER = "Retry-After"
+# "timeout=SECONDS": the time after which the sender closes an idle connection.
+IDLE_TIMEOUT_HEADER = "Keep-Alive"
 # Rises by one each time the store comes back from an older copy of its data.
 STORE_ERA_HEADER = "Store-Era"
 
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -17,7 +17,8 @@
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.placement import Locality, Placement, Placer
-from waxwingshelf.steering.target_limits import NamedLimit, TargetRateShare
+from waxwingshelf.steering.target_limits import TargetRateShare
+from waxwingshelf.steering.target_reports import NamedLimit, TargetReport
 from waxwingshelf.steering.targets import TargetState
 
 __all__ = ["Attempt", "DispatchState"]
@@ -122,6 +123,18 @@
         """Remove a request from the target's in-flight requests."""
         attempt.state.in_flight.pop(attempt.number, None)
 
+    def record_report(self, attempt: Attempt, report: TargetReport) -> None:
+        """Take over what the response to an attempt says of its target."""
+        now_ms = self._clock.now_ms()
+        state = attempt.state
+        if report.target_id != state.target.id:
+            return
+        if report.load is not None:
+            others = len(state.in_flight) - (attempt.number in state.in_flight)
+            state.record_load(report.load, now_ms, others)
+        if report.limit is not None:
+            self._record_limit(state, report.limit, now_ms)
+
     def record_result(
         self,
         route: RouteRule,
@@ -132,10 +145,6 @@
         """Update the target's state and the route's durations from the result of an attempt."""
         now_ms = self._clock.now_ms()
         state = attempt.state
-        if result.load is not None:
-            state.record_load(result.load, now_ms)
-        if result.limit is not None:
-            self._record_limit(state, result.limit, now_ms)
         if isinstance(result, UpstreamResponse):
             state.record_outcome(result.status >= 500, now_ms)
             self._record_duration(route, attempt, now_ms - attempt.sent_ms, now_ms)
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -197,7 +197,12 @@
         exchange.last_attempt = attempt
         try:
             response_timeout_ms = max(1, exchange.response_deadline_ms - self._clock.now_ms())
-            result = await self._upstream.send(target, outgoing, response_timeout_ms)
+            result = await self._upstream.send(
+                target,
+                outgoing,
+                response_timeout_ms,
+                lambda report: self._dispatch_state.record_report(attempt, report),
+            )
         finally:
             self._dispatch_state.finish_attempt(attempt)
             self._serve_queue(exchange.service)
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -3,36 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
 import aiohttp
-import structlog
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
 from waxwingshelf.platform.names import (
-    LOAD_HEADER,
     NOT_RUN_HEADER,
-    RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
     RESPONDING_TARGET_HEADER,
     SIGNATURE_HEADER,
 )
+from waxwingshelf.platform.target_responses import MISDIRECTED_REQUEST, decode_target_report
 from waxwingshelf.serving.client_sessions import build_session
-from waxwingshelf.steering.target_limits import NamedLimit
-from waxwingshelf.steering.targets import Load, Target
+from waxwingshelf.steering.target_reports import TargetReport
+from waxwingshelf.steering.targets import Target
 
 __all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "UpstreamClient", "UpstreamResponse"]
 
 # Shorter than the time after which targets close idle connections.
 _KEEPALIVE_S = 4.0
-_MISDIRECTED_REQUEST = 421
 _MS_PER_S = 1_000
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-_log = structlog.get_logger("upstream")
+ReportHandler = Callable[[TargetReport], None]
 
 
 class FailureKind(StrEnum):
@@ -54,16 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SendFailure:
-    """An attempt that produced no response to forward.
-
-    `limit` is None if the target did not respond.
-    """
+    """An attempt that produced no response to forward."""
 
     kind: FailureKind
     target_id: str
     detail: str
-    load: Load | None = None
-    limit: NamedLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +65,6 @@
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
-    load: Load | None = None
-    limit: NamedLimit | None = None
 
 
 @dataclass(slots=True)
@@ -184,6 +173,10 @@
         closed.exception()
 
 
+def _ignore_report(report: TargetReport) -> None:
+    """Ignore what a target says of itself; the default handler of reports."""
+
+
 class UpstreamClient:
     """Send requests to targets over pooled connections."""
 
@@ -191,9 +184,16 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def send(
-        self, target: Target, request: OutgoingRequest, timeout_ms: int
+        self,
+        target: Target,
+        request: OutgoingRequest,
+        timeout_ms: int,
+        handle_report: ReportHandler = _ignore_report,
     ) -> UpstreamResponse | SendFailure:
-        """Send a request and read the complete response; cancellation closes the connection."""
+        """Send a request and read the complete response; cancellation closes the connection.
+
+        `handle_report` gets what the response says of its target as soon as its head is read.
+        """
         if self._session is None:
             self._session = build_session(_KEEPALIVE_S, response_class=MatchedResponse)
         url = URL(f"http://{target.host}:{target.port}{request.raw_path}", encoded=True)
@@ -207,6 +207,11 @@
                     allow_redirects=False,
                     skip_auto_headers=_SKIPPED_AUTO_HEADERS,
                 ) as response:
+                    report = decode_target_report(
+                        response.status, response.headers, target.id, request.request_id
+                    )
+                    if report is not None:
+                        handle_report(report)
                     body = await _read_body(response)
         except _BodyResetError:
             return SendFailure(
@@ -244,40 +249,13 @@
     target: Target, request: OutgoingRequest, response: aiohttp.ClientResponse, body: bytes
 ) -> UpstreamResponse | SendFailure:
     headers = response.headers
-    load = parse_load(headers.get(LOAD_HEADER))
-    if response.status == _MISDIRECTED_REQUEST:
+    if response.status == MISDIRECTED_REQUEST:
         detail = f"response from {headers.get(RESPONDING_TARGET_HEADER, 'another target')}"
         return SendFailure(FailureKind.WRONG_TARGET, target.id, detail)
-    limit = parse_rate_limit(headers.get(RATE_LIMIT_HEADER), target.id)
     if NOT_RUN_HEADER in headers:
-        return SendFailure(FailureKind.SHED, target.id, f"status {response.status}", load, limit)
+        return SendFailure(FailureKind.SHED, target.id, f"status {response.status}")
     if headers.get(REQUEST_ID_HEADER) != request.request_id:
-        return SendFailure(
-            FailureKind.CROSSED, target.id, "response without the id of the request", load
-        )
+        return SendFailure(FailureKind.CROSSED, target.id, "response without the id of the request")
     if SIGNATURE_HEADER not in headers:
-        return SendFailure(FailureKind.UNSIGNED, target.id, f"status {response.status}", load)
-    return UpstreamResponse(target.id, response.status, headers, body, load, limit)
-
-
-def parse_load(text: str | None) -> Load | None:
-    """Parse "running,waiting,slots"; return None when it is missing or malformed."""
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return Load(running, waiting, slots)
-
-
-def parse_rate_limit(text: str | None, target_id: str) -> NamedLimit | None:
-    """Return the limit that a response names; None if it is malformed and says nothing."""
-    if text is None:
-        return NamedLimit()
-    try:
-        per_s = float(text)
-    except ValueError:
-        per_s = math.nan
-    if not math.isfinite(per_s) or per_s < 0:
-        _log.warning("target_limit_rejected", target=target_id, detail=text[:100])
-        return None
-    return NamedLimit(per_s)
+        return SendFailure(FailureKind.UNSIGNED, target.id, f"status {response.status}")
+    return UpstreamResponse(target.id, response.status, headers, body)
--- a/src/waxwingshelf/steering/target_limits.py
+++ b/src/waxwingshelf/steering/target_limits.py
@@ -9,9 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-__all__ = ["NamedLimit", "TargetRateShare"]
+__all__ = ["TargetRateShare"]
 
 _MS_PER_S = 1_000
 # Only this fraction of a limit is used, since sends of several instances may coincide.
@@ -22,17 +20,6 @@
 _SEND_WINDOW_MS = 2_000
 
 
-@dataclass(frozen=True, slots=True)
-class NamedLimit:
-    """What a response says of its target's rate limit.
-
-    `per_s` is the number of requests per second that the target accepts from all instances
-    together, or None if it names no limit.
-    """
-
-    per_s: float | None = None
-
-
 class TargetRateShare:
     """When this instance may send to a target that limits the requests of all instances.
 
--- /dev/null
+++ b/src/waxwingshelf/steering/target_reports.py
@@ -0,0 +1,45 @@
+"""What a target says of itself in a response: its load, its limits, and whether it is leaving."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Load", "NamedLimit", "TargetReport"]
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """The load that a target reported: its running and waiting requests, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """What a response says of its target's rate limit.
+
+    `per_s` is the number of requests per second that the target accepts from all instances
+    together, or None if it names no limit.
+    """
+
+    per_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What one response says of the target `target_id`, which sent it.
+
+    `load` and `limit` are None if the response says nothing of them or something malformed.
+    `leaving` is set once the target's run will end. For `pause_ms` from the response, the target
+    accepts no requests from this instance. `idle_timeout_ms` is the time after which the target
+    closes an idle connection.
+    """
+
+    target_id: str
+    load: Load | None = None
+    limit: NamedLimit | None = None
+    leaving: bool = False
+    pause_ms: int = 0
+    idle_timeout_ms: int | None = None
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -7,9 +7,9 @@
 
 from waxwingshelf.core.hashing import hash_to_uint32
 from waxwingshelf.steering.target_limits import TargetRateShare
+from waxwingshelf.steering.target_reports import Load
 
 __all__ = [
-    "Load",
     "PeerLoad",
     "Target",
     "TargetRegistry",
@@ -55,15 +55,6 @@
         return (self.started_ms, self.entry_number)
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """The load that a target reported: its running and waiting requests, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class PeerLoad:
     """The number of requests that another instance has in flight at a target."""
@@ -149,11 +140,15 @@
         sent_ms = self.warm_objects.get(key)
         return sent_ms is not None and now_ms - sent_ms < _WARM_TTL_MS
 
-    def record_load(self, load: Load, now_ms: int) -> None:
-        """Record the load that the target reported."""
+    def record_load(self, load: Load, now_ms: int, in_flight: int) -> None:
+        """Record the load that the target reported.
+
+        `in_flight` is the number of this instance's requests there, without the one that the
+        report came with.
+        """
         self.reported_load = load.running + load.waiting
         self.reported_at_ms = now_ms
-        self.in_flight_at_report = len(self.in_flight)
+        self.in_flight_at_report = in_flight
 
     def record_outcome(self, failed: bool, now_ms: int) -> None:
         """Update the failure rate with the outcome of one attempt."""
