Send nothing new to a target whose responses say that it is leaving

Cause: Server-Leaving was read nowhere; only the store's entry ended the use of a target, so that an instance cut off from the store went on. What a target had said (also its rate limit) was forgotten when its entry lapsed and came back. A request that had been chosen was sent whatever had been learned while it connected, and one that never got a connection counted as possibly run. Requests for which no target was left waited until their deadline. Change: TargetRegistry.record_leaving takes a run out of use from the head of the response on; states of removed targets are kept by run, so that only a new run is used again. The permission is asked again once there is a connection (FailureKind.WITHDRAWN). No connection in time is NOT_CONNECTED, and a body that was not begun may go elsewhere. Requests without a usable target in their regions are refused at once, waiting ones too. Not done: peers are not told; the store's entry tells them within a second, and each response does.

--- a/src/waxwingshelf/serving/client_sessions.py
+++ b/src/waxwingshelf/serving/client_sessions.py
@@ -22,6 +22,7 @@
     keepalive_s: float,
     max_connections_per_host: int = 0,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
+    request_class: type[aiohttp.ClientRequest] = aiohttp.ClientRequest,
 ) -> aiohttp.ClientSession:
     """Return a session that neither decompresses bodies nor retries requests on its own."""
     connector = aiohttp.TCPConnector(
@@ -36,6 +37,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         response_class=response_class,
+        request_class=request_class,
         timeout=aiohttp.ClientTimeout(total=None),
     )
     # aiohttp would retry a DELETE on a new connection although the first attempt may have run.
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -126,9 +126,14 @@
     def record_report(self, attempt: Attempt, report: TargetReport) -> None:
         """Take over what the response to an attempt says of its target."""
         now_ms = self._clock.now_ms()
-        state = attempt.state
-        if report.target_id != state.target.id:
+        state: TargetState | None = attempt.state
+        # The address may belong to another target by now, which then speaks for itself.
+        if report.target_id != attempt.state.target.id:
+            state = self._routing_state.targets.find(report.target_id)
+        if state is None:
             return
+        if report.leaving:
+            self._record_leaving(state)
         if report.load is not None:
             others = len(state.in_flight) - (attempt.number in state.in_flight)
             state.record_load(report.load, now_ms, others)
@@ -154,8 +159,20 @@
             self._routing_state.targets.remove(state.target.id)
         elif result.kind is FailureKind.NOT_CONNECTED:
             state.suspend(now_ms)
+        elif result.kind is FailureKind.WITHDRAWN:
+            return
         state.record_outcome(True, now_ms)
 
+    def _record_leaving(self, state: TargetState) -> None:
+        if self._routing_state.targets.record_leaving(state):
+            _log.info(
+                "target_leaving",
+                target=state.target.id,
+                service=state.target.service,
+                draining=state.target.draining,
+                in_flight=len(state.in_flight),
+            )
+
     def _record_limit(self, state: TargetState, limit: NamedLimit, now_ms: int) -> None:
         """Take over the rate limit that a target names, or that it names none any more."""
         share, instances = state.rate_share, self._fleet.count_instances()
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -34,6 +34,7 @@
 _QUEUE_POLL_INTERVAL_S = 0.02
 _OUTCOMES = {
     FailureKind.NOT_CONNECTED: AttemptOutcome.NOT_CONNECTED,
+    FailureKind.WITHDRAWN: AttemptOutcome.NOT_CONNECTED,
     FailureKind.SHED: AttemptOutcome.NOT_RUN,
     FailureKind.WRONG_TARGET: AttemptOutcome.NOT_RUN,
     FailureKind.TIMEOUT: AttemptOutcome.TIMED_OUT,
@@ -70,7 +71,16 @@
     last_attempt: Attempt | None = None
 
 
-_QueuedRequest = tuple[Exchange, "asyncio.Future[Attempt | None]"]
+@dataclass(frozen=True, slots=True)
+class _NoPlacement:
+    """Why a request gets no target, and the expected wait until one has capacity."""
+
+    reason: RefusalReason
+    detail: str
+    expected_wait_ms: int = 0
+
+
+_QueuedRequest = tuple[Exchange, "asyncio.Future[Attempt | _NoPlacement]"]
 
 
 class Dispatcher:
@@ -90,6 +100,8 @@
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
+        # The version of the targets for which the waiting requests of a service were last judged.
+        self._judged_versions: dict[str, int] = {}
 
     async def run(self) -> None:
         """Serve the queues periodically, until cancelled.
@@ -121,8 +133,9 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Attempt | Refusal:
         queue = self._queues.setdefault(exchange.service, WaitQueue())
         exchange.queued_at_ms = self._clock.now_ms()
-        if not self._routing_state.targets.list_usable(exchange.service):
-            return _refuse(exchange, RefusalReason.NO_TARGET, Step.PLACE, "no usable target")
+        hopeless = self._find_why_hopeless(exchange)
+        if hopeless is not None:
+            return _refuse_placement(exchange, hopeless)
         if queue.is_full():
             return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
         attempt = self._place(exchange)
@@ -130,7 +143,7 @@
             queue.record_placement(exchange.allowed_regions, False, exchange.queued_at_ms)
             return attempt
         durations = self._dispatch_state.get_durations(exchange.route)
-        future: asyncio.Future[Attempt | None] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Attempt | _NoPlacement] = asyncio.get_running_loop().create_future()
         waiter = Waiter(
             (exchange, future),
             exchange.priority,
@@ -140,28 +153,52 @@
         )
         queue.add(waiter)
         try:
-            attempt = await future
+            result = await future
         except asyncio.CancelledError:
             queue.remove(waiter)
-            if future.done() and not future.cancelled() and (placed := future.result()):
-                self._dispatch_state.finish_attempt(placed)
+            if future.done() and not future.cancelled():
+                placed = future.result()
+                if isinstance(placed, Attempt):
+                    self._dispatch_state.finish_attempt(placed)
             raise
-        if attempt is None:
-            detail = f"{len(queue)} requests are waiting"
-            return _refuse(
-                exchange, RefusalReason.NO_ROOM, Step.PLACE, detail, waiter.expected_wait_ms
-            )
-        return attempt
+        if isinstance(result, _NoPlacement):
+            return _refuse_placement(exchange, result)
+        return result
+
+    def _find_why_hopeless(self, exchange: Exchange) -> _NoPlacement | None:
+        """Return why no target will accept the request in time, or None if one may."""
+        placer = self._dispatch_state.placer
+        if placer.list_allowed(exchange.service, exchange.allowed_regions):
+            return None
+        return _NoPlacement(RefusalReason.NO_TARGET, "no usable target")
 
     def _serve_queue(self, service: str) -> None:
         queue = self._queues.get(service)
         if not queue:
             return
         now_ms = self._clock.now_ms()
+        self._refuse_hopeless(service, queue)
         for waiter in queue.expire(now_ms):
-            _resolve(waiter.item[1], None)
+            detail = f"{len(queue)} requests are waiting"
+            expired = _NoPlacement(RefusalReason.NO_ROOM, detail, waiter.expected_wait_ms)
+            _resolve(waiter.item[1], expired)
         queue.place_waiting(now_ms, self._place_waiter)
 
+    def _refuse_hopeless(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
+        """Refuse the waiting requests that no target will accept in time.
+
+        That can change only when the targets change.
+        """
+        version = self._routing_state.targets.version
+        if self._judged_versions.get(service) == version:
+            return
+        self._judged_versions[service] = version
+        for waiter in queue.list_in_send_order(self._clock.now_ms()):
+            hopeless = self._find_why_hopeless(waiter.item[0])
+            if hopeless is not None:
+                queue.remove(waiter)
+                _resolve(waiter.item[1], hopeless)
+
     def _place_waiter(self, waiter: Waiter[_QueuedRequest]) -> bool:
         exchange, future = waiter.item
         attempt = self._place(exchange)
@@ -202,6 +239,7 @@
                 outgoing,
                 response_timeout_ms,
                 lambda report: self._dispatch_state.record_report(attempt, report),
+                lambda: not attempt.state.refuses_requests(self._clock.now_ms()),
             )
         finally:
             self._dispatch_state.finish_attempt(attempt)
@@ -254,9 +292,15 @@
     return _rng.randint(max(min_ms, max_ms // 3), max_ms)
 
 
-def _resolve(future: asyncio.Future[Attempt | None], attempt: Attempt | None) -> None:
+def _resolve(
+    future: asyncio.Future[Attempt | _NoPlacement], result: Attempt | _NoPlacement
+) -> None:
     if not future.done():
-        future.set_result(attempt)
+        future.set_result(result)
+
+
+def _refuse_placement(exchange: Exchange, result: _NoPlacement) -> Refusal:
+    return _refuse(exchange, result.reason, Step.PLACE, result.detail, result.expected_wait_ms)
 
 
 def _prefer_failed_response(exchange: Exchange, refusal: Refusal) -> UpstreamResponse | Refusal:
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from contextvars import ContextVar
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -35,6 +36,7 @@
     """Why an attempt produced no response to forward."""
 
     NOT_CONNECTED = "not_connected"
+    WITHDRAWN = "withdrawn"
     SHED = "shed"
     WRONG_TARGET = "wrong_target"
     TIMEOUT = "timeout"
@@ -45,7 +47,17 @@
     @property
     def certainly_not_run(self) -> bool:
         """Return whether the request certainly did not run and never will."""
-        return self in (FailureKind.NOT_CONNECTED, FailureKind.SHED, FailureKind.WRONG_TARGET)
+        return self in _NOT_RUN_KINDS
+
+
+_NOT_RUN_KINDS = frozenset(
+    {
+        FailureKind.NOT_CONNECTED,
+        FailureKind.WITHDRAWN,
+        FailureKind.SHED,
+        FailureKind.WRONG_TARGET,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +99,34 @@
     """A close-delimited body was truncated by a connection reset."""
 
 
+class _SendWithdrawnError(aiohttp.ClientError):
+    """The target stopped accepting requests while this one waited for a connection."""
+
+
+@dataclass(slots=True)
+class _SendProgress:
+    """The permission of a request to be sent, and whether writing it has begun."""
+
+    may_still_send: Callable[[], bool]
+    begun: bool = False
+
+
+# The progress of the request that the current task sends.
+_progress: ContextVar[_SendProgress] = ContextVar("send_progress")
+
+
+class _CheckedRequest(aiohttp.ClientRequest):
+    """A request that checks its permission again once it has a connection."""
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request, or raise `_SendWithdrawnError`."""
+        progress = _progress.get()
+        if not progress.may_still_send():
+            raise _SendWithdrawnError
+        progress.begun = True
+        return await super().send(conn)
+
+
 class MatchedResponse(aiohttp.ClientResponse):
     """A response that skips responses to other requests on the same connection.
 
@@ -173,6 +213,11 @@
         closed.exception()
 
 
+def _allow() -> bool:
+    """Allow the send; the default permission."""
+    return True
+
+
 def _ignore_report(report: TargetReport) -> None:
     """Ignore what a target says of itself; the default handler of reports."""
 
@@ -189,13 +234,20 @@
         request: OutgoingRequest,
         timeout_ms: int,
         handle_report: ReportHandler = _ignore_report,
+        may_still_send: Callable[[], bool] = _allow,
     ) -> UpstreamResponse | SendFailure:
         """Send a request and read the complete response; cancellation closes the connection.
 
-        `handle_report` gets what the response says of its target as soon as its head is read.
+        `may_still_send` is asked once there is a connection: a new one may take a while, and this
+        process may have been paused. `handle_report` gets what the response says of its target as
+        soon as its head is read.
         """
         if self._session is None:
-            self._session = build_session(_KEEPALIVE_S, response_class=MatchedResponse)
+            self._session = build_session(
+                _KEEPALIVE_S, response_class=MatchedResponse, request_class=_CheckedRequest
+            )
+        progress = _SendProgress(may_still_send)
+        _progress.set(progress)
         url = URL(f"http://{target.host}:{target.port}{request.raw_path}", encoded=True)
         try:
             async with asyncio.timeout(timeout_ms / _MS_PER_S):
@@ -217,9 +269,15 @@
             return SendFailure(
                 FailureKind.BROKEN, target.id, "connection reset while reading the body"
             )
+        except _SendWithdrawnError:
+            detail = "the target stopped accepting requests"
+            return SendFailure(FailureKind.WITHDRAWN, target.id, detail)
         except aiohttp.ClientConnectorError as error:
             return SendFailure(FailureKind.NOT_CONNECTED, target.id, str(error))
         except TimeoutError:
+            if not progress.begun:
+                detail = f"no connection within {timeout_ms} ms"
+                return SendFailure(FailureKind.NOT_CONNECTED, target.id, detail)
             return SendFailure(
                 FailureKind.TIMEOUT, target.id, f"no response within {timeout_ms} ms"
             )
--- a/src/waxwingshelf/steering/attempts.py
+++ b/src/waxwingshelf/steering/attempts.py
@@ -94,7 +94,8 @@
         """Return why the request must not be retried, or None if it may be retried."""
         if self.maybe_run and not self.idempotent:
             return RefusalReason.TARGET_FAILED
-        if not self.repeatable:
+        # A body that was not begun can be sent to another target.
+        if not self.repeatable and outcome is not AttemptOutcome.NOT_CONNECTED:
             return RefusalReason.TARGET_FAILED
         if self.sends >= self.max_attempts:
             return RefusalReason.ATTEMPTS_USED
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -108,6 +108,16 @@
         if scarce_regions.update(self._count_slots_by_region(service), now_ms):
             self._cache.clear()
 
+    def list_allowed(self, service: str, allowed_regions: frozenset[str]) -> list[TargetState]:
+        """Return the targets in use in these regions; an empty set allows all regions."""
+        states = self._registry.list_usable(service)
+        if not allowed_regions:
+            return states
+        find_region = self._locality.find_region
+        return [
+            state for state in states if find_region(state.target.failure_domain) in allowed_regions
+        ]
+
     def choose(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
         """Return the targets that may get the request now, best first; none if it should wait."""
         candidates = self._list_candidates(request, now_ms)
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -27,6 +27,7 @@
 _MAX_WARM_OBJECTS = 64
 _WARM_TTL_MS = 8_000
 _MASS_REMOVAL_FRACTION = 0.34
+_MAX_REMOVED_TARGETS = 1_024
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +71,8 @@
     `in_flight` maps the number of each attempt to its send time, `warm_objects` the key of each
     object to the time at which the target last handled it; the oldest entries come first.
     `rate_share` is this instance's share of the rate limit that the target names, if it names one.
-    Times are readings of the instance's clock.
+    `leaving` is set once a response has said that the target's run will end. Times are readings of
+    the instance's clock.
     """
 
     target: Target
@@ -87,17 +89,22 @@
     peer_loads: dict[str, PeerLoad] = field(default_factory=dict)
     warm_objects: OrderedDict[str, int] = field(default_factory=OrderedDict)
     rate_share: TargetRateShare | None = None
+    leaving: bool = False
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the target is limited to its cold rate."""
         return now_ms < self.cold_until_ms
 
     def may_send(self, now_ms: int) -> bool:
-        """Return whether the target's rate limit and suspension allow a request now."""
-        if now_ms < self.suspended_until_ms:
+        """Return whether the target, its rate limit and its suspension allow a request now."""
+        if self.refuses_requests(now_ms) or now_ms < self.suspended_until_ms:
             return False
         return self.rate_share is None or self.rate_share.may_send(now_ms)
 
+    def refuses_requests(self, now_ms: int) -> bool:
+        """Return whether the target has asked this instance to send it nothing now."""
+        return self.leaving
+
     def estimate_load(self, now_ms: int) -> int:
         """Return the estimated number of requests at the target.
 
@@ -175,10 +182,16 @@
 
 
 class TargetRegistry:
-    """All targets by service; `version` increases when earlier rankings may be outdated."""
+    """All targets by service; `version` increases when earlier rankings may be outdated.
+
+    The state of a removed target is kept for a while. Its entry may come back although the same run
+    of the target is meant, for example after an outage of the store, and what that run has said
+    still holds.
+    """
 
     def __init__(self) -> None:
         self._states: dict[str, TargetState] = {}
+        self._removed: OrderedDict[str, TargetState] = OrderedDict()
         self._by_service: dict[str, list[TargetState]] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._by_id_hash: dict[int, TargetState] = {}
@@ -188,10 +201,10 @@
 
     def put(self, target: Target, now_ms: int) -> None:
         """Add or update a target; a restarted target loses its recorded state."""
-        state = self._states.get(target.id)
+        state = self._states.get(target.id) or self._removed.pop(target.id, None)
         if state is None or state.target.started_ms != target.started_ms:
             state = TargetState(target)
-            self._states[target.id] = state
+        self._states[target.id] = state
         state.target = target
         if target.cold_for_ms > 0:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + target.cold_for_ms)
@@ -199,11 +212,27 @@
 
     def remove(self, target_id: str) -> bool:
         """Remove a target; return False if it was not known."""
-        if self._states.pop(target_id, None) is None:
+        state = self._states.pop(target_id, None)
+        if state is None:
+            return False
+        self._removed[target_id] = state
+        if len(self._removed) > _MAX_REMOVED_TARGETS:
+            self._removed.popitem(last=False)
+        self.version += 1
+        return True
+
+    def record_leaving(self, state: TargetState) -> bool:
+        """Stop using this run of a target; return False if it was known to be leaving."""
+        if state.leaving:
             return False
+        state.leaving = True
         self.version += 1
         return True
 
+    def find(self, target_id: str) -> TargetState | None:
+        """Return the state of a known or recently removed target, or None."""
+        return self._states.get(target_id) or self._removed.get(target_id)
+
     def set_evacuated(self, domains: frozenset[str], now_ms: int, cold_ms: int) -> None:
         """Replace the set of evacuated failure domains.
 
@@ -226,7 +255,7 @@
         return list(self._states)
 
     def list_usable(self, service: str) -> list[TargetState]:
-        """Return the targets that may get new requests: neither draining nor evacuated."""
+        """Return the targets in use: neither draining nor leaving nor evacuated."""
         self._rebuild_indexes()
         return self._by_service.get(service, [])
 
@@ -265,7 +294,8 @@
         by_service: dict[str, list[TargetState]] = {}
         for state in self._states.values():
             target = state.target
-            if not target.draining and target.failure_domain not in self._evacuated:
+            is_ending = target.draining or state.leaving
+            if not is_ending and target.failure_domain not in self._evacuated:
                 by_service.setdefault(target.service, []).append(state)
         self._by_service = by_service
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -42,13 +42,15 @@
     """Serve requests one at a time on each connection.
 
     `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
-    caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set.
+    caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
+    and say that the target is leaving if `leaving` is set.
     """
 
     def __init__(self, target_id: str, work_s: float = 0.0) -> None:
         self.id = target_id
         self.work_s = work_s
         self.limit_per_s: float | None = None
+        self.leaving = False
         self.response_mode = ResponseMode.NORMAL
         self.runs: Counter[str] = Counter()
         self.request_heads: list[tuple[str, dict[str, str]]] = []
@@ -91,10 +93,12 @@
         self.request_bodies.append(body)
         request_id = headers.get("attempt-id", "")
         if headers.get("expected-instance", self.id) != self.id:
-            writer.write(_build_response(421, request_id, b"", [f"Instance-Id: {self.id}"]))
+            headers_of_421 = [f"Instance-Id: {self.id}", *self._list_own_headers()]
+            writer.write(_build_response(421, request_id, b"", headers_of_421))
             return True
         if self.response_mode is ResponseMode.SHED:
-            writer.write(_build_response(503, request_id, b"", ["Not-Executed: 1"]))
+            shed_headers = ["Not-Executed: 1", *self._list_own_headers()]
+            writer.write(_build_response(503, request_id, b"", shed_headers))
             return True
         self.runs[request_id] += 1
         if self.work_s:
@@ -110,10 +114,18 @@
                 await disconnect_read
         return await self._send_response(writer, request_id)
 
-    async def _send_response(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
-        signed_headers = ["Server-Signature: ok", "Server-Load: 1,0,4"]
+    def _list_own_headers(self) -> list[str]:
+        """Return the headers in which the target tells of itself."""
+        headers = []
         if self.limit_per_s is not None:
-            signed_headers.append(f"Server-Limit: {self.limit_per_s}")
+            headers.append(f"Server-Limit: {self.limit_per_s}")
+        if self.leaving:
+            headers.append("Server-Leaving: 1")
+        return headers
+
+    async def _send_response(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
+        own_headers = self._list_own_headers()
+        signed_headers = ["Server-Signature: ok", "Server-Load: 1,0,4", *own_headers]
         body = f"answer to {request_id}".encode()
         response = _build_response(200, request_id, body, signed_headers)
         if self.response_mode is ResponseMode.FAIL:
@@ -123,7 +135,7 @@
             await writer.drain()
             return False
         elif self.response_mode is ResponseMode.UNSIGNED:
-            writer.write(_build_response(200, request_id, body, []))
+            writer.write(_build_response(200, request_id, body, own_headers))
         elif self.response_mode is ResponseMode.EXTRA:
             writer.write(
                 response + _build_response(200, request_id, b"second answer", signed_headers)
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -85,7 +85,7 @@
         self.register(name)
         return target
 
-    def register(self, name: str, state: str = "ready", **status: Any) -> None:
+    def register(self, name: str, state: str = "ready", born: int = 0, **status: Any) -> None:
         target = self.targets[name]
         self.store.put(
             f"servers/{name}",
@@ -93,6 +93,7 @@
                 "address": f"{HOST}:{target.port}",
                 "information": {"service": "work", "zone": "north-1", "slots": 4},
                 "status": {"state": state, "sequence": 1, "cold_remaining_ms": 0, **status},
+                "born": born,
             },
         )
 
--- /dev/null
+++ b/tests/steering/test_leaving_targets.py
@@ -0,0 +1,45 @@
+"""Tests that a target's run that has said it is leaving stays out of use."""
+
+from dataclasses import replace
+
+from waxwingshelf.steering.targets import Target, TargetRegistry
+
+TARGET = Target("t1", "reads", "127.0.0.1", 1, "north-1", "v1", 4, False, 0, 100)
+
+
+def register_leaving() -> TargetRegistry:
+    registry = TargetRegistry()
+    registry.put(TARGET, 0)
+    state = registry.get("t1")
+    assert state is not None
+    assert registry.record_leaving(state)
+    assert not registry.record_leaving(state)
+    return registry
+
+
+def test_leaving_target_is_not_used_whatever_its_entry_says() -> None:
+    registry = register_leaving()
+    assert not registry.list_usable("reads")
+    registry.put(replace(TARGET, entry_number=5), 100)
+    assert not registry.list_usable("reads")
+    registry.remove("t1")
+    registry.put(replace(TARGET, entry_number=6), 200)
+    assert not registry.list_usable("reads")
+
+
+def test_new_run_of_a_leaving_target_is_used() -> None:
+    registry = register_leaving()
+    registry.remove("t1")
+    registry.put(replace(TARGET, started_ms=900), 200)
+    (state,) = registry.list_usable("reads")
+    assert state.may_send(200)
+
+
+def test_named_limit_holds_after_an_entry_lapsed_and_came_back() -> None:
+    """The limit was forgotten with the entry, until the next response named it again."""
+    registry = TargetRegistry()
+    registry.put(TARGET, 0)
+    before = registry.get("t1")
+    registry.remove("t1")
+    registry.put(TARGET, 2_000)
+    assert registry.get("t1") is before
