Send nothing to a target for the time that it asks for

Cause: Retry-After in a target's 503 was read nowhere. Each request whose object belongs to the target went there first, was rejected and used a retry; if all targets asked for time, requests waited for their deadline or their attempts. It is checked again at the send. Instances return one after the other, one per slot of the target and second, each with a single request until a response arrives. A request for which every target in its regions is paused beyond its deadline is refused at once with the time until the first returns (reason targets_paused), waiting ones too. A restart forgets pauses; the target then asks again.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -18,6 +18,7 @@
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.placement import Locality, Placement, Placer
 from waxwingshelf.steering.target_limits import TargetRateShare
+from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import NamedLimit, TargetReport
 from waxwingshelf.steering.targets import TargetState
 
@@ -134,6 +135,10 @@
             return
         if report.leaving:
             self._record_leaving(state)
+        if report.pause_ms > 0:
+            self._record_pause(state, report.pause_ms, now_ms)
+        elif state.end_pause(now_ms):
+            _log.info("target_resumed", target=state.target.id, service=state.target.service)
         if report.load is not None:
             others = len(state.in_flight) - (attempt.number in state.in_flight)
             state.record_load(report.load, now_ms, others)
@@ -173,6 +178,24 @@
                 in_flight=len(state.in_flight),
             )
 
+    def _record_pause(self, state: TargetState, pause_ms: int, now_ms: int) -> None:
+        target = state.target
+        phase = hash_to_unit_interval("pause", self._instance_name, target.id)
+        instances = self._fleet.count_instances()
+        pause = TargetPause(now_ms + pause_ms, instances, target.slots, phase)
+        if not state.record_pause(pause):
+            return
+        self._routing_state.targets.record_paused()
+        _log.info(
+            "target_paused",
+            target=target.id,
+            service=target.service,
+            pause_ms=pause_ms,
+            resume_ms=pause.resume_at_ms - now_ms,
+            instances=instances,
+            in_flight=len(state.in_flight),
+        )
+
     def _record_limit(self, state: TargetState, limit: NamedLimit, now_ms: int) -> None:
         """Take over the rate limit that a target names, or that it names none any more."""
         share, instances = state.rate_share, self._fleet.count_instances()
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -100,8 +100,8 @@
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
-        # The version of the targets for which the waiting requests of a service were last judged.
-        self._judged_versions: dict[str, int] = {}
+        # The targets' version and pauses when the waiting requests of a service were last judged.
+        self._judged_versions: dict[str, tuple[int, int]] = {}
 
     async def run(self) -> None:
         """Serve the queues periodically, until cancelled.
@@ -167,10 +167,18 @@
 
     def _find_why_hopeless(self, exchange: Exchange) -> _NoPlacement | None:
         """Return why no target will accept the request in time, or None if one may."""
-        placer = self._dispatch_state.placer
-        if placer.list_allowed(exchange.service, exchange.allowed_regions):
+        now_ms = self._clock.now_ms()
+        earliest_ms = self._dispatch_state.placer.find_earliest_send_ms(
+            exchange.service, exchange.allowed_regions, now_ms
+        )
+        if earliest_ms is None:
+            return _NoPlacement(RefusalReason.NO_TARGET, "no usable target")
+        if earliest_ms < exchange.deadline_ms:
             return None
-        return _NoPlacement(RefusalReason.NO_TARGET, "no usable target")
+        wait_ms = earliest_ms - now_ms
+        return _NoPlacement(
+            RefusalReason.TARGETS_PAUSED, f"all targets are paused for {wait_ms} ms", wait_ms
+        )
 
     def _serve_queue(self, service: str) -> None:
         queue = self._queues.get(service)
@@ -187,9 +195,10 @@
     def _refuse_hopeless(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
         """Refuse the waiting requests that no target will accept in time.
 
-        That can change only when the targets change.
+        That can change only when the targets change or ask for a pause.
         """
-        version = self._routing_state.targets.version
+        targets = self._routing_state.targets
+        version = (targets.version, targets.pauses)
         if self._judged_versions.get(service) == version:
             return
         self._judged_versions[service] = version
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -108,15 +108,23 @@
         if scarce_regions.update(self._count_slots_by_region(service), now_ms):
             self._cache.clear()
 
-    def list_allowed(self, service: str, allowed_regions: frozenset[str]) -> list[TargetState]:
-        """Return the targets in use in these regions; an empty set allows all regions."""
-        states = self._registry.list_usable(service)
-        if not allowed_regions:
-            return states
+    def find_earliest_send_ms(
+        self, service: str, allowed_regions: frozenset[str], now_ms: int
+    ) -> int | None:
+        """Return when a target in these regions first accepts a request; None if there is none.
+
+        An empty set allows all regions. Targets without capacity count too.
+        """
         find_region = self._locality.find_region
-        return [
-            state for state in states if find_region(state.target.failure_domain) in allowed_regions
-        ]
+        earliest_ms: int | None = None
+        for state in self._registry.list_usable(service):
+            if allowed_regions and find_region(state.target.failure_domain) not in allowed_regions:
+                continue
+            send_ms = state.find_earliest_send_ms(now_ms)
+            if send_ms <= now_ms:
+                return now_ms
+            earliest_ms = send_ms if earliest_ms is None else min(earliest_ms, send_ms)
+        return earliest_ms
 
     def choose(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
         """Return the targets that may get the request now, best first; none if it should wait."""
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -33,6 +33,7 @@
     BODY_TOO_LARGE = "body_too_large"
     OVER_RATE = "over_rate"
     NO_TARGET = "no_target"
+    TARGETS_PAUSED = "targets_paused"
     NO_ROOM = "no_room"
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS_USED = "attempts_used"
@@ -50,6 +51,7 @@
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.OVER_RATE: 429,
     RefusalReason.NO_TARGET: 503,
+    RefusalReason.TARGETS_PAUSED: 503,
     RefusalReason.NO_ROOM: 503,
     RefusalReason.RETRY_BUDGET: 503,
     RefusalReason.ATTEMPTS_USED: 503,
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -7,6 +7,7 @@
 
 from waxwingshelf.core.hashing import hash_to_uint32
 from waxwingshelf.steering.target_limits import TargetRateShare
+from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import Load
 
 __all__ = [
@@ -71,8 +72,8 @@
     `in_flight` maps the number of each attempt to its send time, `warm_objects` the key of each
     object to the time at which the target last handled it; the oldest entries come first.
     `rate_share` is this instance's share of the rate limit that the target names, if it names one.
-    `leaving` is set once a response has said that the target's run will end. Times are readings of
-    the instance's clock.
+    `leaving` is set once a response has said that the target's run will end. `pause` is what a
+    response asked for and no later one has ended. Times are readings of the instance's clock.
     """
 
     target: Target
@@ -90,6 +91,7 @@
     warm_objects: OrderedDict[str, int] = field(default_factory=OrderedDict)
     rate_share: TargetRateShare | None = None
     leaving: bool = False
+    pause: TargetPause | None = None
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the target is limited to its cold rate."""
@@ -97,13 +99,33 @@
 
     def may_send(self, now_ms: int) -> bool:
         """Return whether the target, its rate limit and its suspension allow a request now."""
-        if self.refuses_requests(now_ms) or now_ms < self.suspended_until_ms:
+        if self.leaving or now_ms < self.suspended_until_ms:
+            return False
+        if self.pause is not None and not self.pause.may_send(now_ms, len(self.in_flight)):
             return False
         return self.rate_share is None or self.rate_share.may_send(now_ms)
 
     def refuses_requests(self, now_ms: int) -> bool:
         """Return whether the target has asked this instance to send it nothing now."""
-        return self.leaving
+        return self.leaving or (self.pause is not None and now_ms < self.pause.until_ms)
+
+    def find_earliest_send_ms(self, now_ms: int) -> int:
+        """Return the earliest time at which a pause allows a request."""
+        return now_ms if self.pause is None else max(now_ms, self.pause.resume_at_ms)
+
+    def record_pause(self, pause: TargetPause) -> bool:
+        """Take over a pause; of several, the one that ends last stands. Return whether it does."""
+        if self.pause is not None and pause.until_ms <= self.pause.until_ms:
+            return False
+        self.pause = pause
+        return True
+
+    def end_pause(self, now_ms: int) -> bool:
+        """End a pause whose time is over, after a response that asks for none."""
+        if self.pause is None or now_ms < self.pause.resume_at_ms:
+            return False
+        self.pause = None
+        return True
 
     def estimate_load(self, now_ms: int) -> int:
         """Return the estimated number of requests at the target.
@@ -184,6 +206,8 @@
 class TargetRegistry:
     """All targets by service; `version` increases when earlier rankings may be outdated.
 
+    `pauses` is the number of pauses that targets have asked for.
+
     The state of a removed target is kept for a while. Its entry may come back although the same run
     of the target is meant, for example after an outage of the store, and what that run has said
     still holds.
@@ -198,6 +222,7 @@
         self._id_hashes_by_peer: dict[str, set[int]] = {}
         self._indexed_version = 0
         self.version = 0
+        self.pauses = 0
 
     def put(self, target: Target, now_ms: int) -> None:
         """Add or update a target; a restarted target loses its recorded state."""
@@ -229,6 +254,10 @@
         self.version += 1
         return True
 
+    def record_paused(self) -> None:
+        """Count a pause that a target has asked for."""
+        self.pauses += 1
+
     def find(self, target_id: str) -> TargetState | None:
         """Return the state of a known or recently removed target, or None."""
         return self._states.get(target_id) or self._removed.get(target_id)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -43,7 +43,8 @@
 
     `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
     caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
-    and say that the target is leaving if `leaving` is set.
+    and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
+    set.
     """
 
     def __init__(self, target_id: str, work_s: float = 0.0) -> None:
@@ -51,6 +52,7 @@
         self.work_s = work_s
         self.limit_per_s: float | None = None
         self.leaving = False
+        self.pause_s: float | None = None
         self.response_mode = ResponseMode.NORMAL
         self.runs: Counter[str] = Counter()
         self.request_heads: list[tuple[str, dict[str, str]]] = []
@@ -98,6 +100,8 @@
             return True
         if self.response_mode is ResponseMode.SHED:
             shed_headers = ["Not-Executed: 1", *self._list_own_headers()]
+            if self.pause_s is not None:
+                shed_headers.append(f"Retry-After: {self.pause_s}")
             writer.write(_build_response(503, request_id, b"", shed_headers))
             return True
         self.runs[request_id] += 1
