Bound the bytes that responses without end may take

Cause: bodies of targets were read whole into memory until the deadline; responses to other requests and interim responses without end were skipped until the deadline. Responses of the store and of peers had no bound either, and a peer's compressed state could expand without one. The target's failure is too_large: safe requests go elsewhere, others get 502 at once. Bodies of the store and of peers are read up to 32 MiB (core/bounded_reads.py). Callers' heads were bounded already.

--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
 from waxwingshelf.platform.names import STORE_ERA_HEADER
 from waxwingshelf.platform.settings import Endpoint
 from waxwingshelf.steering.mirror import Change, Position
@@ -21,6 +22,8 @@
 _CALL_TIMEOUT_S = 1.5
 _WATCH_MARGIN_S = 1.0
 _MS_PER_S = 1_000
+# A page has about 1 MB; a watch may bring many changes at once.
+_MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 _T = TypeVar("_T")
 
 
@@ -218,10 +221,10 @@
                     data=body,
                     headers=headers,
                 ) as response:
-                    content = await response.read()
+                    content = await read_bounded(response.content, _MAX_RESPONSE_BYTES)
                     status = response.status
                     era = response.headers.get(STORE_ERA_HEADER, "")
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, BodyLimitError) as error:
             raise StoreError(StoreErrorKind.UNKNOWN, step, repr(error)) from None
         self._check_era(era, step)
         if status == 200:
--- a/src/waxwingshelf/serving/client_sessions.py
+++ b/src/waxwingshelf/serving/client_sessions.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 import socket
 import struct
 
 import aiohttp
 from aiohappyeyeballs import AddrInfoType
+from aiohttp.client_proto import ResponseHandler
 
 __all__ = ["build_session"]
 
@@ -23,6 +26,7 @@
     max_connections_per_host: int = 0,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
     request_class: type[aiohttp.ClientRequest] = aiohttp.ClientRequest,
+    protocol_class: type[ResponseHandler] = ResponseHandler,
 ) -> aiohttp.ClientSession:
     """Return a session that neither decompresses bodies nor retries requests on its own."""
     connector = aiohttp.TCPConnector(
@@ -32,6 +36,7 @@
         use_dns_cache=False,
         socket_factory=_open_socket,
     )
+    connector._factory = functools.partial(protocol_class, loop=asyncio.get_running_loop())
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -17,6 +17,7 @@
 import structlog
 from aiohttp import web
 
+from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.platform.settings import InstanceSettings
 from waxwingshelf.serving.client_sessions import build_session
@@ -57,6 +58,8 @@
 # A watch of the store nearly always delivers changes sooner than this.
 _MAX_LAG_MS = 650
 _KEEPALIVE_S = 10.0
+# The store's whole state, compressed or not.
+_MAX_STATE_BYTES = 32 * 1024 * 1024
 _COMPRESSION_LEVEL = 1
 _log = structlog.get_logger("peers")
 
@@ -343,8 +346,8 @@
         try:
             async with asyncio.timeout(_PULL_TIMEOUT_S):
                 async with self._session.get(url, params=query) as response:
-                    body = await response.read()
-            state = msgspec.msgpack.decode(zlib.decompress(body), type=_StateResponse)
+                    body = await read_bounded(response.content, _MAX_STATE_BYTES)
+            state = msgspec.msgpack.decode(_decompress(body), type=_StateResponse)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError, zlib.error) as error:
             self._metrics.peer_pulls.labels("failed").inc()
             _log.info("pull_failed", peer=f"{host}:{port}", detail=repr(error))
@@ -361,5 +364,13 @@
             self._routing_state.apply_config(state.config, source)
 
 
+def _decompress(body: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    state = decompressor.decompress(body, _MAX_STATE_BYTES)
+    if not decompressor.eof:
+        raise BodyLimitError(f"state incomplete or over {_MAX_STATE_BYTES} bytes")
+    return state
+
+
 def _parse_number(text: str, default: int) -> int:
     return int(text) if text.isdigit() else default
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -20,6 +20,11 @@
 )
 from waxwingshelf.platform.target_responses import MISDIRECTED_REQUEST, decode_target_report
 from waxwingshelf.serving.client_sessions import build_session
+from waxwingshelf.serving.response_buffer import (
+    BoundedResponseHandler,
+    ResponseBuffer,
+    ResponseLimitError,
+)
 from waxwingshelf.steering.target_reports import TargetReport
 from waxwingshelf.steering.targets import Target
 
@@ -27,6 +32,7 @@
 
 # Shorter than the time after which targets close idle connections.
 _KEEPALIVE_S = 4.0
+_MAX_SKIPPED_RESPONSES = 16
 _MS_PER_S = 1_000
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 ReportHandler = Callable[[TargetReport], None]
@@ -43,6 +49,7 @@
     BROKEN = "broken"
     CROSSED = "crossed"
     UNSIGNED = "unsigned"
+    TOO_LARGE = "too_large"
 
     @property
     def certainly_not_run(self) -> bool:
@@ -150,6 +157,7 @@
             abort_connection(connection)
             raise
         self._starting = False
+        self._set_in_body(connection, True)
         if self._eof_while_starting:
             self._response_eof()
         return self
@@ -157,13 +165,15 @@
     async def _start_matching(
         self, connection: aiohttp.connector.Connection, expected_id: str | None
     ) -> None:
-        while True:
+        for _ in range(_MAX_SKIPPED_RESPONSES + 1):
             self._eof_while_starting = False
             await super().start(connection)
             echoed_id = self.headers.get(REQUEST_ID_HEADER)
             if echoed_id is None or echoed_id == expected_id:
                 return
-            await self.content.read()
+            while await self.content.readany():
+                pass
+        raise ResponseLimitError(f"{_MAX_SKIPPED_RESPONSES} responses to other requests")
 
     def reset(self) -> None:
         """Reset the connection of a response that was not read completely."""
@@ -186,8 +196,14 @@
         if self._starting:
             self._eof_while_starting = True
             return
+        if self.connection is not None:
+            self._set_in_body(self.connection, False)
         super()._response_eof()
 
+    def _set_in_body(self, connection: aiohttp.connector.Connection, in_body: bool) -> None:
+        if isinstance(connection.protocol, BoundedResponseHandler):
+            connection.protocol.set_in_body(in_body)
+
 
 def abort_connection(connection: aiohttp.connector.Connection) -> None:
     """Reset a connection, so that data not yet delivered is discarded.
@@ -227,6 +243,7 @@
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
+        self._buffer = ResponseBuffer()
 
     async def send(
         self,
@@ -244,7 +261,10 @@
         """
         if self._session is None:
             self._session = build_session(
-                _KEEPALIVE_S, response_class=MatchedResponse, request_class=_CheckedRequest
+                _KEEPALIVE_S,
+                response_class=MatchedResponse,
+                request_class=_CheckedRequest,
+                protocol_class=BoundedResponseHandler,
             )
         progress = _SendProgress(may_still_send)
         _progress.set(progress)
@@ -264,11 +284,13 @@
                     )
                     if report is not None:
                         handle_report(report)
-                    body = await _read_body(response)
+                    body = await self._read_body(response)
         except _BodyResetError:
             return SendFailure(
                 FailureKind.BROKEN, target.id, "connection reset while reading the body"
             )
+        except ResponseLimitError as error:
+            return SendFailure(FailureKind.TOO_LARGE, target.id, str(error))
         except _SendWithdrawnError:
             detail = "the target stopped accepting requests"
             return SendFailure(FailureKind.WITHDRAWN, target.id, detail)
@@ -285,24 +307,23 @@
             return SendFailure(FailureKind.BROKEN, target.id, repr(error))
         return _classify_response(target, request, response, body)
 
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        try:
+            body = await self._buffer.read(response)
+        except BaseException:
+            if isinstance(response, MatchedResponse):
+                response.reset()
+            raise
+        if isinstance(response, MatchedResponse) and response.was_reset():
+            raise _BodyResetError
+        return body
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
             await self._session.close()
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    try:
-        body = await response.read()
-    except BaseException:
-        if isinstance(response, MatchedResponse):
-            response.reset()
-        raise
-    if isinstance(response, MatchedResponse) and response.was_reset():
-        raise _BodyResetError
-    return body
-
-
 def _classify_response(
     target: Target, request: OutgoingRequest, response: aiohttp.ClientResponse, body: bytes
 ) -> UpstreamResponse | SendFailure:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -23,7 +23,9 @@
     SLOW has no effect of its own. SHED refuses the request without running it, FAIL returns status
     500, CUT truncates the response, RESET resets the connection without a response, UNSIGNED omits
     the signature, and EXTRA sends a second response. The UNFRAMED modes send a body without a
-    length and then reset or close the connection.
+    length and then reset or close the connection. The ENDLESS modes send bytes without end: as a
+    body without a length, as a chunked body, as header lines, as interim responses, or as responses
+    to other requests.
     """
 
     NORMAL = "normal"
@@ -36,6 +38,11 @@
     CLOSE_UNFRAMED = "close_unframed"
     EXTRA = "extra"
     UNSIGNED = "unsigned"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_CHUNKED = "endless_chunked"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_INTERIM = "endless_interim"
+    ENDLESS_OTHERS = "endless_others"
 
 
 class PlatformTargetStandIn:
@@ -130,6 +137,9 @@
     async def _send_response(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
         own_headers = self._list_own_headers()
         signed_headers = ["Server-Signature: ok", "Server-Load: 1,0,4", *own_headers]
+        if self.response_mode in _ENDLESS_PARTS:
+            await _send_endless(writer, request_id, self.response_mode)
+            return False
         body = f"answer to {request_id}".encode()
         response = _build_response(200, request_id, body, signed_headers)
         if self.response_mode is ResponseMode.FAIL:
@@ -164,6 +174,33 @@
     return ("\r\n".join(lines + headers) + "\r\n\r\n").encode() + body
 
 
+_PART_BYTES = 65_536
+# The head and the part that follows it without end.
+_ENDLESS_PARTS = {
+    ResponseMode.ENDLESS_BODY: ("Connection: close\r\n\r\n", b"x" * _PART_BYTES),
+    ResponseMode.ENDLESS_CHUNKED: (
+        "Transfer-Encoding: chunked\r\n\r\n",
+        b"%x\r\n%b\r\n" % (_PART_BYTES, b"x" * _PART_BYTES),
+    ),
+    ResponseMode.ENDLESS_HEAD: ("", b"X-More: " + b"x" * 100 + b"\r\n"),
+    ResponseMode.ENDLESS_INTERIM: (None, b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    ResponseMode.ENDLESS_OTHERS: (None, _build_response(200, "other", b"x" * 1_000, [])),
+}
+
+
+async def _send_endless(
+    writer: asyncio.StreamWriter, request_id: str, response_mode: ResponseMode
+) -> None:
+    """Send until the caller closes the connection, which raises `ConnectionError`."""
+    head, part = _ENDLESS_PARTS[response_mode]
+    if head is not None:
+        lines = f"HTTP/1.1 200 X\r\nAttempt-Id: {request_id}\r\nServer-Signature: ok\r\n"
+        writer.write((lines + head).encode())
+    while True:
+        writer.write(part)
+        await writer.drain()
+
+
 def _build_unframed_response(request_id: str, body: bytes, headers: list[str]) -> bytes:
     lines = ["HTTP/1.1 200 X", f"Attempt-Id: {request_id}", "Connection: close"]
     return ("\r\n".join(lines + headers) + "\r\n\r\n").encode() + body
