Rank rate owners once, and poll queues only while requests wait

Every instance asked four times a second for each of 140 organisations whether it owns its rate, which ranked eight candidates by hash each time and listed the region. Also: all peers were walked for each datagram to find its sender, candidates were hashed anew, and queues were polled 50 times a second while empty. Change: OwnerRankings keeps the order of candidates for each organisation until the candidates change; an instance that is no available candidate skips the question. Peers are found by an index; the queue poll waits for a waiting request. Ruled out: fewer reports; who owns a rate is decided as often, from the same availability.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -100,19 +100,23 @@
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
+        self._has_waiting = asyncio.Event()
         # The targets' version and pauses when the waiting requests of a service were last judged.
         self._judged_versions: dict[str, tuple[int, int]] = {}
 
     async def run(self) -> None:
-        """Serve the queues periodically, until cancelled.
+        """Serve the queues periodically while requests wait, until cancelled.
 
         A queue is also served when a request of this instance ends; polling finds capacity that
         becomes available for other reasons.
         """
         while True:
+            await self._has_waiting.wait()
             await asyncio.sleep(_QUEUE_POLL_INTERVAL_S)
             for service in list(self._queues):
                 self._serve_queue(service)
+            if not any(self._queues.values()):
+                self._has_waiting.clear()
 
     async def dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         """Send a request until it is answered, cannot be retried or reaches its deadline."""
@@ -152,6 +156,7 @@
             exchange.allowed_regions,
         )
         queue.add(waiter)
+        self._has_waiting.set()
         try:
             result = await future
         except asyncio.CancelledError:
--- a/src/waxwingshelf/serving/rate_limiter.py
+++ b/src/waxwingshelf/serving/rate_limiter.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -30,6 +31,7 @@
 from waxwingshelf.steering.limits import RateBucket
 from waxwingshelf.steering.owners import (
     MAX_OWNERS_ASKED,
+    OwnerRankings,
     OwnerReport,
     OwnerReports,
     list_candidate_owners,
@@ -78,7 +80,7 @@
         self._boot = clock.wall_ms()
         # 0 stands for no report in acks.
         self._report_numbers = itertools.count(1)
-        self._candidate_owners: dict[str, list[PeerAddress]] = {}
+        self._rankings = OwnerRankings()
         self._connections: dict[PeerAddress, OwnerConnection] = {}
         self._token_server = TokenServer(self._handle_request)
         self._suspect_until_ms: dict[str, int] = {}
@@ -119,15 +121,37 @@
     def _list_owners(self, organisation: str) -> list[PeerAddress]:
         """Return the rate owner in this region, then the instance to ask if it does not respond."""
         region = self._peer_network.address.region
-        # If no candidate owner is available, choose from all available instances of the region.
-        for addresses in (self._candidate_owners.get(region, []), self._list_region(region)):
-            candidates = [address for address in addresses if self._is_available(address)]
-            if candidates:
-                return rank_owners(organisation, candidates)[:MAX_OWNERS_ASKED]
-        return [self._peer_network.address]
-
-    def _is_owner(self, organisation: str) -> bool:
-        return self._list_owners(organisation)[0].name == self._peer_network.address.name
+        ranked = self._rankings.rank(region, organisation)
+        available = [address for address in ranked if self._is_available(address)]
+        if not available:
+            # No candidate owner is available; choose from all available instances of the region.
+            available = rank_owners(organisation, self._list_available_in_region())
+        return available[:MAX_OWNERS_ASKED] or [self._peer_network.address]
+
+    def _list_owned(self, organisations: Collection[str]) -> list[str]:
+        """Return the organisations whose rates this instance owns."""
+        own = self._peer_network.address
+        available = {
+            address.name
+            for address in self._rankings.get_candidates(own.region)
+            if self._is_available(address)
+        }
+        if not available:
+            return [name for name in organisations if self._list_owners(name)[0] == own]
+        if own.name not in available:
+            return []
+        return [
+            name
+            for name in organisations
+            if self._find_first(self._rankings.rank(own.region, name), available) == own.name
+        ]
+
+    def _find_first(self, ranked: list[PeerAddress], available: Collection[str]) -> str:
+        return next(address.name for address in ranked if address.name in available)
+
+    def _list_available_in_region(self) -> list[PeerAddress]:
+        addresses = self._list_region(self._peer_network.address.region)
+        return [address for address in addresses if self._is_available(address)]
 
     def _is_available(self, address: PeerAddress) -> bool:
         if address.name == self._peer_network.address.name:
@@ -142,7 +166,8 @@
 
     def _update_candidate_owners(self) -> None:
         for region in self._fleet.list_regions():
-            self._candidate_owners[region] = list_candidate_owners(self._list_region(region))
+            candidates = list_candidate_owners(self._list_region(region))
+            self._rankings.set_candidates(region, candidates)
 
     def _close_stale_connections(self) -> None:
         """Close the connections to owners that are lost or have changed their address."""
@@ -156,9 +181,8 @@
             return
         demand = self._demand_tracker.list_demand_rates()
         config = self._routing_state.config
-        for organisation in config.organisations if config else ():
-            if organisation not in demand and self._is_owner(organisation):
-                demand[organisation] = 0.0
+        for organisation in self._list_owned(config.organisations if config else ()):
+            demand.setdefault(organisation, 0.0)
         own = self._peer_network.address
         number = next(self._report_numbers)
         report = OwnerReport(own.name, own.region, self._boot, number, demand)
@@ -170,9 +194,9 @@
     def _list_other_owners(self, organisations: set[str]) -> list[PeerAddress]:
         """Return the other instances that own these rates or have reported demand for them."""
         others: dict[str, PeerAddress] = {}
-        for candidates in self._candidate_owners.values():
+        for region in self._rankings.list_regions():
             for organisation in organisations:
-                for owner in rank_owners(organisation, candidates)[:1]:
+                for owner in self._rankings.rank(region, organisation)[:1]:
                     others[owner.name] = owner
         for name in self._owner_reports.list_reporters(organisations):
             address = self._fleet.find_address(name)
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -138,6 +138,8 @@
         self._name = name
         self._region = region
         self._peers: dict[str, Peer] = {}
+        # By hash of the name, and boot.
+        self._peers_by_boot: dict[tuple[int, int], Peer] = {}
         self._started_ms = now_ms
         self._silent_peer_caps: dict[str, SilentPeerCap] = {}
         self._sent_demand = SentDemand()
@@ -158,6 +160,9 @@
         if is_older and not is_restarted:
             return False
         if heartbeat.boot != peer.boot:
+            name_hash = hash_to_uint32(name)
+            self._peers_by_boot.pop((name_hash, peer.boot), None)
+            self._peers_by_boot[name_hash, heartbeat.boot] = peer
             peer.load_report_number = -1
             peer.heard_since = self._sent_demand.last_number
         peer.address = heartbeat.address
@@ -183,10 +188,8 @@
 
     def find_by_boot(self, name_hash: int, boot: int) -> PeerAddress | None:
         """Return the address of the peer with this hash of its name, if its boot is known."""
-        for name, peer in self._peers.items():
-            if peer.boot == boot and hash_to_uint32(name) == name_hash:
-                return peer.address
-        return None
+        peer = self._peers_by_boot.get((name_hash, boot))
+        return peer.address if peer is not None else None
 
     def record_load_report(self, report: LoadReport) -> bool:
         """Record a load report's number; return False if the report must be ignored.
@@ -229,7 +232,8 @@
             and now_ms - peer.unregistered_at_ms >= _REMOVAL_DELAY_MS
         ]
         for name in lost:
-            del self._peers[name]
+            peer = self._peers.pop(name)
+            self._peers_by_boot.pop((hash_to_uint32(name), peer.boot), None)
         return lost
 
     def has_recent_heartbeat(self, peer: Peer, now_ms: int) -> bool:
--- a/src/waxwingshelf/steering/owners.py
+++ b/src/waxwingshelf/steering/owners.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 from dataclasses import dataclass
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
@@ -18,6 +19,7 @@
 
 __all__ = [
     "MAX_OWNERS_ASKED",
+    "OwnerRankings",
     "OwnerReport",
     "OwnerReports",
     "list_candidate_owners",
@@ -32,6 +34,8 @@
 # Instances with much slower links than others lose datagrams while callers upload.
 _MIN_LINK_SPEED_RATIO = 0.5
 _REPORT_TTL_MS = 3_000
+_MAX_CACHED_HASHES = 4_096
+_MAX_CACHED_RANKINGS = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,10 +69,15 @@
     candidates = [
         item for item in addresses if item.link_mbps >= max_link_mbps * _MIN_LINK_SPEED_RATIO
     ]
-    candidates.sort(key=lambda address: hash_to_unit_interval("rate owners", address.name))
+    candidates.sort(key=lambda address: _hash_candidate(address.name))
     return candidates[:_MAX_CANDIDATE_OWNERS]
 
 
+@functools.lru_cache(maxsize=_MAX_CACHED_HASHES)
+def _hash_candidate(name: str) -> float:
+    return hash_to_unit_interval("rate owners", name)
+
+
 def rank_owners(organisation: str, candidates: list[PeerAddress]) -> list[PeerAddress]:
     """Return the candidates for an organisation's rate, the preferred owner first.
 
@@ -78,6 +87,43 @@
     return [by_name[name] for name in rank(organisation, by_name)]
 
 
+class OwnerRankings:
+    """The candidate owners of each region, and their order for each organisation.
+
+    The order is computed once: it is needed for all organisations several times per second.
+    """
+
+    def __init__(self) -> None:
+        self._candidates: dict[str, list[PeerAddress]] = {}
+        self._rankings: dict[tuple[str, str], list[PeerAddress]] = {}
+
+    def set_candidates(self, region: str, candidates: list[PeerAddress]) -> None:
+        """Replace the candidate owners of a region."""
+        if self._candidates.get(region) == candidates:
+            return
+        self._candidates[region] = candidates
+        self._rankings = {key: value for key, value in self._rankings.items() if key[0] != region}
+
+    def list_regions(self) -> list[str]:
+        """Return the regions that have candidates."""
+        return list(self._candidates)
+
+    def get_candidates(self, region: str) -> list[PeerAddress]:
+        """Return the candidate owners of a region."""
+        return self._candidates.get(region, [])
+
+    def rank(self, region: str, organisation: str) -> list[PeerAddress]:
+        """Return the candidates of a region for an organisation's rate, preferred first."""
+        key = (region, organisation)
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            if len(self._rankings) >= _MAX_CACHED_RANKINGS:
+                self._rankings.clear()
+            ranking = rank_owners(organisation, self.get_candidates(region))
+            self._rankings[key] = ranking
+        return ranking
+
+
 class OwnerReports:
     """The demand reports that this instance sent to other rate owners and received from them."""
 
