Read a large store from a peer at the start

Change: an instance that starts reads the first page; if that is not all, it reads the rest from a peer of its settings that has this revision or a later one, and lists the store itself if none has within 2.5 s. Peers that the settings name list the store at once. A listing after a restore or a compaction goes to the store as before.

--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -62,6 +62,15 @@
     position: Position
 
 
+@dataclass(frozen=True, slots=True)
+class Page:
+    """A part of a listing, which is complete up to the last of these keys."""
+
+    items: list[Change]
+    position: Position
+    is_last: bool
+
+
 @dataclass(frozen=True, slots=True)
 class WatchBatch:
     """Changes after the requested revision, complete up to `position`."""
@@ -137,27 +146,30 @@
         self.era = 0
         self.on_new_era: Callable[[], None] = _ignore_new_era
 
-    async def list_items(self, prefix: str) -> Listing:
-        """Return all items whose keys start with a prefix, read page by page."""
-        items: list[Change] = []
-        position: Position | None = None
-        after = ""
-        while True:
-            query = {"path_prefix": prefix}
-            if after:
-                query["after"] = after
-            body = await self._call("range", "GET", "/api/kv-range", _CALL_TIMEOUT_S, query)
-            page = _decode(body, _Range, "range")
-            items += [_to_change(item) for item in page.items]
-            # The first page has the earliest revision: a watch from it also returns the changes
-            # made between the pages.
-            if position is None:
-                position = Position(self.era, page.as_of)
-            if position.era != self.era:
+    async def list_page(self, prefix: str, after: str = "") -> Page:
+        """Return the first items whose keys start with a prefix and follow the key `after`."""
+        query = {"path_prefix": prefix}
+        if after:
+            query["after"] = after
+        body = await self._call("range", "GET", "/api/kv-range", _CALL_TIMEOUT_S, query)
+        page = _decode(body, _Range, "range")
+        items = [_to_change(item) for item in page.items]
+        is_last = not page.truncated or not items
+        return Page(items, Position(self.era, page.as_of), is_last)
+
+    async def list_items(self, prefix: str, first: Page | None = None) -> Listing:
+        """Return all items whose keys start with a prefix, read page by page after the first."""
+        page = first or await self.list_page(prefix)
+        items = page.items
+        # The first page has the earliest revision: a watch from it also returns the changes made
+        # between the pages.
+        position = page.position
+        while not page.is_last:
+            page = await self.list_page(prefix, page.items[-1].key)
+            if page.position.era != position.era:
                 raise StoreError(StoreErrorKind.OUTDATED, "range", "new era between two pages")
-            if not page.truncated or not page.items:
-                return Listing(items, position)
-            after = page.items[-1].key
+            items = items + page.items
+        return Listing(items, position)
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> WatchBatch:
         """Wait up to `wait_ms` for changes after a revision, and return them."""
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -158,6 +158,7 @@
             self._metrics,
         )
         store_watcher.on_changes = self._peer_network.announce_changes
+        store_watcher.read_from_peers = self._peer_network.read_from_seeds
         self._peer_network.is_watching = lambda: store_watcher.watching
         await self._open()
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 import zlib
@@ -60,6 +61,8 @@
 # requests there run at other targets.
 _FAR_LOAD_REPORT_PERIOD = 3
 _PULL_TIMEOUT_S = 1.0
+_SEED_WAIT_MS = 2_500
+_SEED_RETRY_S = 0.3
 # Longer datagrams are more often lost on slow links.
 _MAX_CHANGES_BYTES = 4_096
 # A watch of the store nearly always delivers changes sooner than this.
@@ -332,6 +335,26 @@
             if seed.host != self.address.host:
                 await self._pull(seed.host, seed.port)
 
+    async def read_from_seeds(self, position: Position) -> bool:
+        """Read the state at `position` or later from a seed peer; return whether one had it.
+
+        All instances may start at the same time. Seed peers read the store then, and the others
+        wait for them for a while.
+        """
+        seeds = list(self._settings.seeds)
+        if self._settings.peer_state in seeds:
+            return False
+        self._rng.shuffle(seeds)
+        deadline_ms = self._clock.now_ms() + _SEED_WAIT_MS
+        for seed in itertools.cycle(seeds):
+            await self._pull(seed.host, seed.port)
+            if self._routing_state.mirror.position >= position:
+                return True
+            if self._clock.now_ms() >= deadline_ms:
+                break
+            await asyncio.sleep(_SEED_RETRY_S * self._rng.uniform(0.5, 1.5))
+        return False
+
     def _catch_up(self) -> None:
         now_ms = self._clock.now_ms()
         ahead = self._choose_ahead_peer(now_ms)
--- a/src/waxwingshelf/serving/store_watcher.py
+++ b/src/waxwingshelf/serving/store_watcher.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 
 import structlog
 
@@ -66,6 +66,7 @@
         self._watch_interrupted = asyncio.Event()
         store.on_new_era = self._watch_interrupted.set
         self.on_changes: Callable[[int, WatchBatch], None] = _ignore_changes
+        self.read_from_peers: Callable[[Position], Awaitable[bool]] = _read_nothing
         self._consecutive_failures = 0
         self._first_failure_ms = 0
         self.watching = False
@@ -128,7 +129,13 @@
             _log.info("deregistration_failed", detail=str(failure))
 
     async def _list_keys(self) -> None:
-        listing = await self._store.list_items(_ALL_KEYS)
+        """Read all keys: those of a large store from a peer at the start, else from the store."""
+        first = await self._store.list_page(_ALL_KEYS)
+        is_start = self._routing_state.mirror.position == Position()
+        if is_start and not first.is_last and await self.read_from_peers(first.position):
+            self._record_success("list")
+            return
+        listing = await self._store.list_items(_ALL_KEYS, first)
         self._record_success("list")
         self._routing_state.replace(listing.items, listing.position, "store")
 
@@ -199,3 +206,8 @@
 
 def _ignore_changes(after: int, batch: WatchBatch) -> None:
     """Ignore changes; the default of `StoreWatcher.on_changes`."""
+
+
+async def _read_nothing(position: Position) -> bool:
+    """Read nothing; the default of `StoreWatcher.read_from_peers`."""
+    return False
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -65,13 +65,16 @@
     """Hold the store's state and serve its HTTP API.
 
     Tests call `put` and `delete` to act as operators and targets. Lease deadlines are readings of
-    the monotonic clock in seconds.
+    the monotonic clock in seconds. `pages` counts the pages of listings, which have up to
+    `page_size` items.
     """
 
     fault: StoreFault = StoreFault.NONE
     era: int = 1
     revision: int = 1
     calls: int = 0
+    page_size: int = 500
+    pages: int = 0
     items: dict[str, _Item] = field(default_factory=dict)
     events: list[_Event] = field(default_factory=list)
     compacted_revision: int = 0
@@ -187,8 +190,13 @@
     async def _list_range(self, request: web.Request) -> web.Response:
         prefix, after = request.query["path_prefix"], request.query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        items = [self._encode_item(key, self.items[key]) for key in keys]
-        return web.json_response({"items": items, "truncated": False, "as_of": self.revision})
+        self.pages += 1
+        page = keys[: self.page_size]
+        items = [self._encode_item(key, self.items[key]) for key in page]
+        is_truncated = len(page) < len(keys)
+        return web.json_response(
+            {"items": items, "truncated": is_truncated, "as_of": self.revision}
+        )
 
     async def _watch(self, request: web.Request) -> web.Response:
         prefix, after = request.query["path_prefix"], int(request.query["after"])
