--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -42,7 +42,8 @@
 class SoakDeployment:
     """A store and targets behind proxies, and processes that are signalled only here.
 
-    `entry_states` has the state of each target's entry that should be in the store.
+    `entry_states` has the state of each target's entry that should be in the store, `started_ms`
+    the start of each target that has restarted.
     """
 
     folder: Path
@@ -53,6 +54,7 @@
     config_version: int = 1
     entry_number: int = 0
     entry_states: dict[int, str] = field(default_factory=dict)
+    started_ms: dict[int, int] = field(default_factory=dict)
     _runners: list[web.AppRunner] = field(default_factory=list)
     _store_proxies: list[Proxy] = field(default_factory=list)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
@@ -109,9 +111,15 @@
                 "address": f"{HOST}:{self.target_proxies[number].port}",
                 "information": {"service": "work", "zone": zone, "slots": 8},
                 "status": {"state": state, "sequence": self.entry_number, "cold_remaining_ms": 0},
+                "born": self.started_ms.get(number, 0),
             },
         )
 
+    def start_new_run(self, number: int) -> None:
+        """Let a target restart under its id."""
+        self.started_ms[number] = self.started_ms.get(number, 0) + 1
+        self.register(number)
+
     def deregister(self, number: int) -> None:
         """Remove a target's entry."""
         self.entry_states.pop(number, None)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -136,6 +136,7 @@
             self._inject_store_link_fault,
             self._change_response_mode,
             self._remove_target,
+            self._let_target_leave,
             self._change_config,
             self._restore_store,
         ]
@@ -181,8 +182,10 @@
     async def _change_response_mode(self) -> None:
         target = self.rng.choice(self.deployment.targets)
         target.response_mode = self.rng.choice(list(ResponseMode))
+        target.pause_s = self.rng.choice((None, 0.5, 2.0))
         await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         target.response_mode = ResponseMode.NORMAL
+        target.pause_s = None
 
     async def _remove_target(self) -> None:
         number = self.rng.randrange(TARGETS)
@@ -202,6 +205,28 @@
         self.deployment.register(number)
         del self.removal_times_s[number]
 
+    async def _let_target_leave(self) -> None:
+        """Let a target's responses say that it is leaving, while its entry says that it is ready.
+
+        Each instance may learn of it with a few requests.
+        """
+        number = self.rng.randrange(TARGETS)
+        if self.removal_times_s:
+            return
+        target = self.deployment.targets[number]
+        target.leaving = True
+        left_s = self.removal_times_s[number] = time.monotonic()
+        await asyncio.sleep(1.0)
+        count_before = len(target.request_heads)
+        await asyncio.sleep(0.7)
+        no_recent_fault = self.last_fault_s < left_s - QUIET_PERIOD_S
+        sent = len(target.request_heads) - count_before
+        if no_recent_fault and sent > 2 * INSTANCES:
+            self._add_violation("a leaving target receives no new requests", f"t{number}: {sent}")
+        target.leaving = False
+        self.deployment.start_new_run(number)
+        del self.removal_times_s[number]
+
     async def _change_config(self) -> None:
         self.deployment.change_config()
 
