--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -131,7 +131,8 @@
         candidates = self._list_candidates(request, now_ms)
         if not candidates:
             return []
-        first = _find_limited_in_turn(candidates, request) or candidates[0]
+        limited = _find_limited_in_turn(candidates, request)
+        first = limited or candidates[0]
         # A request that has waited for its first target is expected to wait as long again.
         max_cost_ms = first.cost_ms + request.waited_ms
         eligible = [
@@ -140,9 +141,9 @@
             if _has_capacity(candidate) and (candidate is first or candidate.cost_ms <= max_cost_ms)
         ]
         eligible.sort(key=_get_cost)
-        if first.state.rate_share is not None and first in eligible:
-            eligible.remove(first)
-            eligible.insert(0, first)
+        if limited is not None:
+            eligible.remove(limited)
+            eligible.insert(0, limited)
         return eligible
 
     def _list_candidates(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
