Do not reuse a connection after the idle time that its target names

Change: a pooled connection is closed instead of used once it has been idle for the named time less half a second; nothing has been sent then, so the request takes another one. Tests that instances agree on the owners of rates.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,7 +2,7 @@
 # Install the libraries and compile everything, so that a start neither parses nor compiles. Without
 # docstrings (-OO) a process takes less memory.
 set -e
-if ! [ target/deps -nt requirements/platform.txt ]; then
+if ! { [ target/deps -nt requirements/platform.txt ] && [ target/deps -nt deploy/build.sh ]; }; then
     python3 -m pip install -q -U --target target/deps -r requirements/platform.txt
     python3 -OO -m compileall -q -f --invalidation-mode unchecked-hash target/deps
     touch target/deps
--- a/src/waxwingshelf/platform/target_responses.py
+++ b/src/waxwingshelf/platform/target_responses.py
@@ -22,8 +22,8 @@
 
 __all__ = [
     "MISDIRECTED_REQUEST",
+    "decode_idle_timeout",
     "decode_target_report",
-    "parse_idle_timeout",
     "parse_load",
     "parse_pause",
     "parse_rate_limit",
@@ -58,7 +58,6 @@
         limit=parse_rate_limit(headers.get(RATE_LIMIT_HEADER), target_id),
         leaving=_is_leaving(headers),
         pause_ms=parse_pause(pause_text, target_id),
-        idle_timeout_ms=parse_idle_timeout(headers.get(IDLE_TIMEOUT_HEADER)),
     )
 
 
@@ -100,9 +99,9 @@
     return min(pause_ms, _MAX_PAUSE_MS)
 
 
-def parse_idle_timeout(text: str | None) -> int | None:
-    """Return the idle timeout in milliseconds that "timeout=SECONDS" names, or None."""
-    match = _IDLE_TIMEOUT.search(text or "")
+def decode_idle_timeout(headers: Mapping[str, str]) -> int | None:
+    """Return the milliseconds after which the sender closes an idle connection, or None."""
+    match = _IDLE_TIMEOUT.search(headers.get(IDLE_TIMEOUT_HEADER, ""))
     return int(match[1]) * _MS_PER_S if match else None
 
 
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -257,8 +257,8 @@
                 target,
                 outgoing,
                 response_timeout_ms,
-                lambda report: self._dispatch_state.record_report(attempt, report),
-                lambda: not attempt.state.refuses_requests(self._clock.now_ms()),
+                handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
+                may_still_send=lambda: not attempt.state.refuses_requests(self._clock.now_ms()),
             )
         finally:
             self._dispatch_state.finish_attempt(attempt)
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -30,6 +30,15 @@
 
     _unmatched_bytes = 0
     _in_body = False
+    _idle_until_ms: int | None = None
+
+    def set_idle_until(self, idle_until_ms: int | None) -> None:
+        """Set until when the peer keeps the idle connection open, if it tells."""
+        self._idle_until_ms = idle_until_ms
+
+    def is_idle_too_long(self, now_ms: int) -> bool:
+        """Return whether the peer may be about to close the connection."""
+        return self._idle_until_ms is not None and now_ms >= self._idle_until_ms
 
     def set_in_body(self, in_body: bool) -> None:
         """Set whether the body of an awaited response is being read."""
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -12,13 +13,18 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import (
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     RESPONDING_TARGET_HEADER,
     SIGNATURE_HEADER,
 )
-from waxwingshelf.platform.target_responses import MISDIRECTED_REQUEST, decode_target_report
+from waxwingshelf.platform.target_responses import (
+    MISDIRECTED_REQUEST,
+    decode_idle_timeout,
+    decode_target_report,
+)
 from waxwingshelf.serving.client_sessions import build_session
 from waxwingshelf.serving.response_buffer import (
     BoundedResponseHandler,
@@ -32,9 +38,12 @@
 
 # Shorter than the time after which targets close idle connections.
 _KEEPALIVE_S = 4.0
+# A request must reach a target before it closes the idle connection.
+_IDLE_MARGIN_MS = 500
 _MAX_SKIPPED_RESPONSES = 16
 _MS_PER_S = 1_000
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+_clock = SystemClock()
 ReportHandler = Callable[[TargetReport], None]
 
 
@@ -106,6 +115,10 @@
     """A close-delimited body was truncated by a connection reset."""
 
 
+class _IdleConnectionError(aiohttp.ClientError):
+    """The target may be about to close the connection that the pool chose."""
+
+
 class _SendWithdrawnError(aiohttp.ClientError):
     """The target stopped accepting requests while this one waited for a connection."""
 
@@ -126,7 +139,12 @@
     """A request that checks its permission again once it has a connection."""
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
-        """Write the request, or raise `_SendWithdrawnError`."""
+        """Write the request, or raise `_SendWithdrawnError` or `_IdleConnectionError`."""
+        protocol = conn.protocol
+        if isinstance(protocol, BoundedResponseHandler):
+            if protocol.is_idle_too_long(_clock.now_ms()):
+                raise _IdleConnectionError
+            protocol.set_idle_until(None)
         progress = _progress.get()
         if not progress.may_still_send():
             raise _SendWithdrawnError
@@ -198,8 +216,16 @@
             return
         if self.connection is not None:
             self._set_in_body(self.connection, False)
+            self._set_idle_until(self.connection)
         super()._response_eof()
 
+    def _set_idle_until(self, connection: aiohttp.connector.Connection) -> None:
+        idle_timeout_ms = decode_idle_timeout(self.headers)
+        if idle_timeout_ms is None or not isinstance(connection.protocol, BoundedResponseHandler):
+            return
+        until_ms = _clock.now_ms() + idle_timeout_ms - _IDLE_MARGIN_MS
+        connection.protocol.set_idle_until(until_ms)
+
     def _set_in_body(self, connection: aiohttp.connector.Connection, in_body: bool) -> None:
         if isinstance(connection.protocol, BoundedResponseHandler):
             connection.protocol.set_in_body(in_body)
@@ -271,14 +297,7 @@
         url = URL(f"http://{target.host}:{target.port}{request.raw_path}", encoded=True)
         try:
             async with asyncio.timeout(timeout_ms / _MS_PER_S):
-                async with self._session.request(
-                    request.method,
-                    url,
-                    headers=request.headers,
-                    data=request.body,
-                    allow_redirects=False,
-                    skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-                ) as response:
+                async with self._request(request, url) as response:
                     report = decode_target_report(
                         response.status, response.headers, target.id, request.request_id
                     )
@@ -307,6 +326,29 @@
             return SendFailure(FailureKind.BROKEN, target.id, repr(error))
         return _classify_response(target, request, response, body)
 
+    @contextlib.asynccontextmanager
+    async def _request(
+        self, request: OutgoingRequest, url: URL
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request on a connection that the target has not announced to close by now."""
+        assert self._session is not None
+        while True:
+            try:
+                response = await self._session.request(
+                    request.method,
+                    url,
+                    headers=request.headers,
+                    data=request.body,
+                    allow_redirects=False,
+                    skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+                )
+                break
+            except _IdleConnectionError:
+                # The connection is closed; the pool chooses another or opens one.
+                continue
+        async with response:
+            yield response
+
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         try:
             body = await self._buffer.read(response)
--- a/src/waxwingshelf/steering/target_reports.py
+++ b/src/waxwingshelf/steering/target_reports.py
@@ -33,8 +33,7 @@
 
     `load` and `limit` are None if the response says nothing of them or something malformed.
     `leaving` is set once the target's run will end. For `pause_ms` from the response, the target
-    accepts no requests from this instance. `idle_timeout_ms` is the time after which the target
-    closes an idle connection.
+    accepts no requests from this instance.
     """
 
     target_id: str
@@ -42,4 +41,3 @@
     limit: NamedLimit | None = None
     leaving: bool = False
     pause_ms: int = 0
-    idle_timeout_ms: int | None = None
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -48,6 +48,8 @@
 class PlatformTargetStandIn:
     """Serve requests one at a time on each connection.
 
+    Responses name `idle_timeout_s` if it is set, but connections stay open.
+
     `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
     caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
     and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
@@ -60,6 +62,7 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         self.pause_s: float | None = None
+        self.idle_timeout_s: int | None = None
         self.response_mode = ResponseMode.NORMAL
         self.runs: Counter[str] = Counter()
         self.request_heads: list[tuple[str, dict[str, str]]] = []
@@ -130,6 +133,8 @@
         headers = []
         if self.limit_per_s is not None:
             headers.append(f"Server-Limit: {self.limit_per_s}")
+        if self.idle_timeout_s is not None:
+            headers.append(f"Keep-Alive: timeout={self.idle_timeout_s}")
         if self.leaving:
             headers.append("Server-Leaving: 1")
         return headers
--- a/tests/platform/test_target_responses.py
+++ b/tests/platform/test_target_responses.py
@@ -3,8 +3,8 @@
 import pytest
 
 from waxwingshelf.platform.target_responses import (
+    decode_idle_timeout,
     decode_target_report,
-    parse_idle_timeout,
     parse_load,
     parse_pause,
     parse_rate_limit,
@@ -68,7 +68,8 @@
     ],
 )
 def test_idle_timeout_is_parsed(text, idle_timeout_ms) -> None:
-    assert parse_idle_timeout(text) == idle_timeout_ms
+    headers = {} if text is None else {"Keep-Alive": text}
+    assert decode_idle_timeout(headers) == idle_timeout_ms
 
 
 @pytest.mark.parametrize(
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -98,3 +98,20 @@
         assert count_reads() - before <= len(instances)
 
     run_scenario(scenario)
+
+
+def test_instances_agree_on_the_owner_of_each_rate(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        for name in [f"n{number}" for number in range(18)]:
+            await deployment.start_instance(name)
+        await wait_until_large(deployment)
+        organisations = [f"organisation-{number}" for number in range(40)]
+        limiters = [instance._rate_limiter for instance in deployment.instances.values()]
+        owned = [name for limiter in limiters for name in limiter._list_owned(organisations)]
+        assert sorted(owned) == sorted(organisations)
+        for limiter in limiters:
+            own = limiter._peer_network.address
+            for name in limiter._list_owned(organisations):
+                assert all(other._list_owners(name)[0].name == own.name for other in limiters)
+
+    run_scenario(scenario)
--- a/tests/serving/test_upstream.py
+++ b/tests/serving/test_upstream.py
@@ -116,3 +116,22 @@
         await client.close()
 
     asyncio.run(main())
+
+
+def test_connection_is_not_used_after_the_idle_time_of_its_target() -> None:
+    """The pool kept it for 4 s: a request met the target's close, and may or may not have run."""
+
+    async def main() -> None:
+        standin = PlatformTargetStandIn("t")
+        standin.idle_timeout_s = 1
+        await standin.start()
+        client = UpstreamClient()
+        for index, pause_s in enumerate((0.0, 0.1, 0.7)):
+            await asyncio.sleep(pause_s)
+            result = await client.send(make_target(standin), make_request(index), 1_000)
+            assert isinstance(result, UpstreamResponse)
+        assert standin.connections == 2
+        await standin.stop()
+        await client.close()
+
+    asyncio.run(main())
--- a/tests/steering/test_owners.py
+++ b/tests/steering/test_owners.py
@@ -8,6 +8,7 @@
 from waxwingshelf.steering.fleet import PeerAddress
 from waxwingshelf.steering.limits import RateBucket
 from waxwingshelf.steering.owners import (
+    OwnerRankings,
     OwnerReport,
     OwnerReports,
     list_candidate_owners,
@@ -188,3 +189,16 @@
     bound = (rate * window_ms / 1_000 + rate) * 1.1 + 20
     for start in range(0, length_ms - window_ms, 100):
         assert sum(start <= time_ms < start + window_ms for time_ms in admitted) <= bound
+
+
+def test_rankings_follow_the_candidates() -> None:
+    first = [make_address(f"n{number}") for number in range(8)]
+    second = first[1:]
+    rankings = OwnerRankings()
+    rankings.set_candidates("north", first)
+    for candidates in (first, second):
+        rankings.set_candidates("north", candidates)
+        for organisation in ("acme", "tiny", "acme"):
+            assert rankings.rank("north", organisation) == rank_owners(organisation, candidates)
+    assert rankings.rank("south", "acme") == []
+    assert rankings.list_regions() == ["north"]
