--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -107,8 +107,12 @@
         await wait_until_large(deployment)
         organisations = [f"organisation-{number}" for number in range(40)]
         limiters = [instance._rate_limiter for instance in deployment.instances.values()]
-        owned = [name for limiter in limiters for name in limiter._list_owned(organisations)]
-        assert sorted(owned) == sorted(organisations)
+
+        def list_owned() -> list[str]:
+            return sorted(name for item in limiters for name in item._list_owned(organisations))
+
+        # Each heartbeat goes to some peers only, so that it takes a few until all are heard.
+        await deployment.wait_until(lambda: list_owned() == sorted(organisations))
         for limiter in limiters:
             own = limiter._peer_network.address
             for name in limiter._list_owned(organisations):
