Compare owners as all instances see them, once they agree

Cause: the test waited for its own instances' view of what they own, and then compared the views of others at one moment; two of three runs failed while an instance had not heard a peer yet.

--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -108,14 +108,18 @@
         organisations = [f"organisation-{number}" for number in range(40)]
         limiters = [instance._rate_limiter for instance in deployment.instances.values()]
 
-        def list_owned() -> list[str]:
-            return sorted(name for item in limiters for name in item._list_owned(organisations))
+        def agree() -> bool:
+            owned = {}
+            for limiter in limiters:
+                for name in limiter._list_owned(organisations):
+                    owned.setdefault(name, []).append(limiter._peer_network.address.name)
+            chosen = {
+                name: sorted({limiter._list_owners(name)[0].name for limiter in limiters})
+                for name in organisations
+            }
+            return owned == chosen
 
         # Each heartbeat goes to some peers only, so that it takes a few until all are heard.
-        await deployment.wait_until(lambda: list_owned() == sorted(organisations))
-        for limiter in limiters:
-            own = limiter._peer_network.address
-            for name in limiter._list_owned(organisations):
-                assert all(other._list_owners(name)[0].name == own.name for other in limiters)
+        await deployment.wait_until(agree)
 
     run_scenario(scenario)
