Let a starting instance read from its seed peers once at a time

Cause: while an instance waited for a seed peer's state, the task that reads from seed peers while no configuration is known read from all three as well, every half second. Also: the metric of store calls counted a start from a peer as a whole listing (step list). Change: one of the two reads at a time; step first_page.

--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -20,7 +20,7 @@
 
 from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
 from waxwingshelf.core.clock import Clock
-from waxwingshelf.platform.settings import InstanceSettings
+from waxwingshelf.platform.settings import Endpoint, InstanceSettings
 from waxwingshelf.platform.store import WatchBatch
 from waxwingshelf.serving.client_sessions import build_session
 from waxwingshelf.serving.demand_tracker import DemandTracker
@@ -129,6 +129,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._behind_since_ms: int | None = None
         self._pull_task: asyncio.Task[None] | None = None
+        self._is_reading_from_seeds = False
         self._handlers: dict[bytes, DatagramHandler] = {
             HEARTBEAT_TYPE: self._handle_heartbeat,
             LOAD_REPORT_TYPE: self._handle_load_report,
@@ -340,6 +341,8 @@
 
     async def pull_from_seeds(self) -> None:
         """Read the store state from the seed peers in the settings, since the store may be down."""
+        if self._is_reading_from_seeds:
+            return
         for seed in self._settings.seeds:
             if seed.host != self.address.host:
                 await self._pull(seed.host, seed.port)
@@ -354,6 +357,13 @@
         if self._settings.peer_state in seeds:
             return False
         self._rng.shuffle(seeds)
+        self._is_reading_from_seeds = True
+        try:
+            return await self._read_until(position, seeds)
+        finally:
+            self._is_reading_from_seeds = False
+
+    async def _read_until(self, position: Position, seeds: list[Endpoint]) -> bool:
         deadline_ms = self._clock.now_ms() + _SEED_WAIT_MS
         for seed in itertools.cycle(seeds):
             await self._pull(seed.host, seed.port)
--- a/src/waxwingshelf/serving/store_watcher.py
+++ b/src/waxwingshelf/serving/store_watcher.py
@@ -133,7 +133,7 @@
         first = await self._store.list_page(_ALL_KEYS)
         is_start = self._routing_state.mirror.position == Position()
         if is_start and not first.is_last and await self.read_from_peers(first.position):
-            self._record_success("list")
+            self._record_success("first_page")
             return
         listing = await self._store.list_items(_ALL_KEYS, first)
         self._record_success("list")
