Tell targets the time that remains at the send

Cause: Deadline-Ms was written when the target was chosen; a slow connection or a pause of this process then gave the target more time than its caller waits, and a request whose deadline had passed was still sent. Change: the remaining time is written once there is a connection; without any, nothing is sent and the request counts as not run. Measured: tests/serving/test_upstream.py::test_time_that_the_connection_took_is_not_given_to_the_target.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -9,7 +9,7 @@
 import structlog
 
 from waxwingshelf.core.clock import Clock
-from waxwingshelf.platform.names import DEADLINE_HEADER, EXPECTED_TARGET_HEADER, ORGANISATION_HEADER
+from waxwingshelf.platform.names import EXPECTED_TARGET_HEADER, ORGANISATION_HEADER
 from waxwingshelf.serving.dispatch_state import Attempt, DispatchState
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
@@ -245,10 +245,9 @@
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
         target = attempt.state.target
-        timeout_ms = max(1, exchange.deadline_ms - self._clock.now_ms())
         outgoing = exchange.outgoing
         outgoing.headers[EXPECTED_TARGET_HEADER] = target.id
-        outgoing.headers[DEADLINE_HEADER] = str(timeout_ms)
+        outgoing.deadline_ms = exchange.deadline_ms
         exchange.attempts.record_attempt()
         exchange.last_attempt = attempt
         try:
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -15,6 +15,7 @@
 
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import (
+    DEADLINE_HEADER,
     NOT_RUN_HEADER,
     REQUEST_ID_HEADER,
     RESPONDING_TARGET_HEADER,
@@ -97,13 +98,17 @@
 
 @dataclass(slots=True)
 class OutgoingRequest:
-    """A request to send to a target; a streamed body can be sent only once."""
+    """A request to send to a target; a streamed body can be sent only once.
+
+    The target is told how much time remains until `deadline_ms`, a clock reading, at the send.
+    """
 
     method: str
     raw_path: str
     headers: CIMultiDict[str]
     body: bytes | AsyncIterator[bytes] | None
     request_id: str
+    deadline_ms: int | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -120,14 +125,15 @@
 
 
 class _SendWithdrawnError(aiohttp.ClientError):
-    """The target stopped accepting requests while this one waited for a connection."""
+    """The target stopped accepting requests, or the deadline passed, before the send."""
 
 
 @dataclass(slots=True)
 class _SendProgress:
-    """The permission of a request to be sent, and whether writing it has begun."""
+    """The permission of a request to be sent, its deadline, and whether writing it has begun."""
 
     may_still_send: Callable[[], bool]
+    deadline_ms: int | None
     begun: bool = False
 
 
@@ -148,6 +154,11 @@
         progress = _progress.get()
         if not progress.may_still_send():
             raise _SendWithdrawnError
+        if progress.deadline_ms is not None:
+            remaining_ms = progress.deadline_ms - _clock.now_ms()
+            if remaining_ms <= 0:
+                raise _SendWithdrawnError
+            self.headers[DEADLINE_HEADER] = str(remaining_ms)
         progress.begun = True
         return await super().send(conn)
 
@@ -292,7 +303,7 @@
                 request_class=_CheckedRequest,
                 protocol_class=BoundedResponseHandler,
             )
-        progress = _SendProgress(may_still_send)
+        progress = _SendProgress(may_still_send, request.deadline_ms)
         _progress.set(progress)
         url = URL(f"http://{target.host}:{target.port}{request.raw_path}", encoded=True)
         try:
@@ -311,7 +322,7 @@
         except ResponseLimitError as error:
             return SendFailure(FailureKind.TOO_LARGE, target.id, str(error))
         except _SendWithdrawnError:
-            detail = "the target stopped accepting requests"
+            detail = "the target stopped accepting requests, or the deadline passed"
             return SendFailure(FailureKind.WITHDRAWN, target.id, detail)
         except aiohttp.ClientConnectorError as error:
             return SendFailure(FailureKind.NOT_CONNECTED, target.id, str(error))
--- a/tests/serving/test_upstream.py
+++ b/tests/serving/test_upstream.py
@@ -6,6 +6,7 @@
 from multidict import CIMultiDict
 
 from standins.platform_target import PlatformTargetStandIn, ResponseMode
+from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.serving.upstream import (
     FailureKind,
     OutgoingRequest,
@@ -135,3 +136,35 @@
         await client.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(("connect_s", "kind"), [(0.2, None), (0.6, FailureKind.WITHDRAWN)])
+def test_time_that_the_connection_took_is_not_given_to_the_target(connect_s, kind) -> None:
+    """The deadline was written before the connection was there, or before a pause."""
+
+    async def main() -> None:
+        standin = PlatformTargetStandIn("t")
+        await standin.start()
+        client = UpstreamClient()
+        await client.send(make_target(standin), make_request(0), 1_000)
+        connect = client._session.connector.connect
+
+        async def connect_slowly(*arguments, **options):
+            await asyncio.sleep(connect_s)
+            return await connect(*arguments, **options)
+
+        client._session.connector.connect = connect_slowly
+        request = make_request(1)
+        request.deadline_ms = SystemClock().now_ms() + 500
+        result = await client.send(make_target(standin), request, 1_000)
+        if kind is None:
+            assert isinstance(result, UpstreamResponse)
+            assert 0 < int(standin.request_heads[-1][1]["deadline-ms"]) <= 300
+        else:
+            assert isinstance(result, SendFailure)
+            assert result.kind is kind
+            assert len(standin.request_heads) == 1
+        await standin.stop()
+        await client.close()
+
+    asyncio.run(main())
