Tell runs of a target without a start time apart by their count of entries

Cause: what a run has said now outlives its entry; on a deployment whose entries have no start time, a target that left and restarted under its id would have been left out for good. Found in reading, not seen. Change: a lower count of entries is a new run if neither entry has a start time. Measured: tests/steering/test_leaving_targets.py.

--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -222,7 +222,7 @@
     def put(self, target: Target, now_ms: int) -> None:
         """Add or update a target; a restarted target loses its recorded state."""
         state = self._states.get(target.id) or self._removed.pop(target.id, None)
-        if state is None or state.target.started_ms != target.started_ms:
+        if state is None or _is_new_run(state.target, target):
             state = TargetState(target)
         self._states[target.id] = state
         state.target = target
@@ -324,6 +324,14 @@
         self._by_service = by_service
 
 
+def _is_new_run(known: Target, target: Target) -> bool:
+    """Return whether an entry is of a later run of a target than the known one."""
+    if target.started_ms != known.started_ms:
+        return True
+    # Without a start time, only a count of entries that starts anew tells.
+    return target.started_ms == 0 and target.entry_number < known.entry_number
+
+
 def hash_target_id(target_id: str) -> int:
     """Return a short hash that identifies a target in load reports between instances."""
     return hash_to_uint32(target_id)
--- a/tests/steering/test_leaving_targets.py
+++ b/tests/steering/test_leaving_targets.py
@@ -43,3 +43,19 @@
     registry.remove("t1")
     registry.put(TARGET, 2_000)
     assert registry.get("t1") is before
+
+
+def test_run_without_a_start_time_is_known_by_its_count_of_entries() -> None:
+    """Otherwise a target that restarts under its id would be left out for good."""
+    registry = TargetRegistry()
+    target = replace(TARGET, started_ms=0, entry_number=7)
+    registry.put(target, 0)
+    state = registry.get("t1")
+    assert state is not None
+    registry.record_leaving(state)
+    registry.remove("t1")
+    registry.put(replace(target, entry_number=8), 100)
+    assert not registry.list_usable("reads")
+    registry.remove("t1")
+    registry.put(replace(target, entry_number=1), 200)
+    assert registry.list_usable("reads")
