--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -137,9 +137,9 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Attempt | Refusal:
         queue = self._queues.setdefault(exchange.service, WaitQueue())
         exchange.queued_at_ms = self._clock.now_ms()
-        hopeless = self._find_why_hopeless(exchange)
-        if hopeless is not None:
-            return _refuse_placement(exchange, hopeless)
+        unplaceable = self._find_why_unplaceable(exchange)
+        if unplaceable is not None:
+            return _refuse_placement(exchange, unplaceable)
         if queue.is_full():
             return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
         attempt = self._place(exchange)
@@ -170,7 +170,7 @@
             return _refuse_placement(exchange, result)
         return result
 
-    def _find_why_hopeless(self, exchange: Exchange) -> _NoPlacement | None:
+    def _find_why_unplaceable(self, exchange: Exchange) -> _NoPlacement | None:
         """Return why no target will accept the request in time, or None if one may."""
         now_ms = self._clock.now_ms()
         earliest_ms = self._dispatch_state.placer.find_earliest_send_ms(
@@ -194,7 +194,7 @@
         if not queue:
             return
         now_ms = self._clock.now_ms()
-        self._refuse_hopeless(service, queue)
+        self._refuse_unplaceable(service, queue)
         for waiter in queue.expire(now_ms):
             detail = f"{len(queue)} requests are waiting"
             retry_after_ms = choose_retry_after_ms(waiter.expected_wait_ms)
@@ -202,7 +202,7 @@
             _resolve(waiter.item[1], expired)
         queue.place_waiting(now_ms, self._place_waiter)
 
-    def _refuse_hopeless(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
+    def _refuse_unplaceable(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
         """Refuse the waiting requests that no target will accept in time.
 
         That can change only when the targets change or ask for a pause.
@@ -213,10 +213,10 @@
             return
         self._judged_versions[service] = version
         for waiter in queue.list_in_send_order(self._clock.now_ms()):
-            hopeless = self._find_why_hopeless(waiter.item[0])
-            if hopeless is not None:
+            unplaceable = self._find_why_unplaceable(waiter.item[0])
+            if unplaceable is not None:
                 queue.remove(waiter)
-                _resolve(waiter.item[1], hopeless)
+                _resolve(waiter.item[1], unplaceable)
 
     def _place_waiter(self, waiter: Waiter[_QueuedRequest]) -> bool:
         exchange, future = waiter.item
