Tell how connections to targets fare, and why no target has room

Change: counter waxwingshelf_target_connections (opened, failed), gauge waxwingshelf_target_silence_seconds, and the number of suspended targets in the detail of no_room. Which targets are chosen and what is refused stays as it was.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -196,12 +196,17 @@
         now_ms = self._clock.now_ms()
         self._refuse_unplaceable(service, queue)
         for waiter in queue.expire(now_ms):
-            detail = f"{len(queue)} requests are waiting"
+            detail = f"{len(queue)} requests are waiting, {self._describe_targets(service, now_ms)}"
             retry_after_ms = choose_retry_after_ms(waiter.expected_wait_ms)
             expired = _NoPlacement(RefusalReason.NO_ROOM, detail, retry_after_ms)
             _resolve(waiter.item[1], expired)
         queue.place_waiting(now_ms, self._place_waiter)
 
+    def _describe_targets(self, service: str, now_ms: int) -> str:
+        targets = self._routing_state.targets
+        suspended = targets.count_suspended(service, now_ms)
+        return f"{suspended} of {len(targets.list_usable(service))} targets are suspended"
+
     def _refuse_unplaceable(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
         """Refuse the waiting requests that no target will accept in time.
 
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -19,7 +19,11 @@
     load_settings,
 )
 from waxwingshelf.platform.store import StoreClient
-from waxwingshelf.serving.client_sessions import build_session
+from waxwingshelf.serving.client_sessions import (
+    SocketFactory,
+    build_session,
+    open_client_socket,
+)
 from waxwingshelf.serving.demand_tracker import DemandTracker
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher
@@ -31,6 +35,7 @@
 from waxwingshelf.serving.requests import RequestHandler
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.store_watcher import StoreWatcher
+from waxwingshelf.serving.target_connections import TargetContact
 from waxwingshelf.serving.upstream import UpstreamClient
 from waxwingshelf.steering.config import CallerLimits
 from waxwingshelf.steering.fleet import Fleet
@@ -75,7 +80,11 @@
     """Create, run and shut down the components of one entry instance."""
 
     def __init__(
-        self, settings: InstanceSettings, logs: LogBuffer, path: Path | None = None
+        self,
+        settings: InstanceSettings,
+        logs: LogBuffer,
+        path: Path | None = None,
+        open_target_socket: SocketFactory = open_client_socket,
     ) -> None:
         self._settings = settings
         self._path = path
@@ -89,7 +98,8 @@
         self._demand_tracker = DemandTracker(
             clock, self._fleet, owner_reports, settings.bounds.rate_slack
         )
-        self._upstream = UpstreamClient()
+        self._target_contact = TargetContact(clock, metrics)
+        self._upstream = UpstreamClient(self._target_contact, open_target_socket)
         self._peer_network = PeerNetwork(
             settings, self._fleet, self._routing_state, self._demand_tracker, clock, metrics
         )
@@ -232,6 +242,8 @@
                 self._apply_caller_limits(self._routing_state.config.limits)
             self._metrics.store_restores.set(self._routing_state.store_restores)
             self._metrics.in_flight.set(self._request_handler.in_flight)
+            silence_ms = self._target_contact.compute_silence_ms()
+            self._metrics.target_silence.set(silence_ms / _MS_PER_S)
             await asyncio.sleep(_UPDATE_INTERVAL_S)
 
     async def _pull_from_seeds(self) -> None:
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -58,6 +58,17 @@
             ["result"],
             registry=registry,
         )
+        self.target_connections = Counter(
+            "waxwingshelf_target_connections",
+            "Connections to targets that were opened, or could not be.",
+            ["result"],
+            registry=registry,
+        )
+        self.target_silence = Gauge(
+            "waxwingshelf_target_silence_seconds",
+            "Time since this instance last heard from any target.",
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "waxwingshelf_requests_in_flight",
             "Requests in progress.",
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 from collections.abc import AsyncIterator, Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -26,12 +27,21 @@
     decode_idle_timeout,
     decode_target_report,
 )
-from waxwingshelf.serving.client_sessions import build_session
+from waxwingshelf.serving.client_sessions import (
+    SocketFactory,
+    build_session,
+    open_client_socket,
+)
 from waxwingshelf.serving.response_buffer import (
     BoundedResponseHandler,
     ResponseBuffer,
     ResponseLimitError,
 )
+from waxwingshelf.serving.target_connections import (
+    TargetConnection,
+    TargetConnector,
+    TargetContact,
+)
 from waxwingshelf.steering.target_reports import TargetReport
 from waxwingshelf.steering.targets import Target
 
@@ -278,7 +288,11 @@
 class UpstreamClient:
     """Send requests to targets over pooled connections."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, contact: TargetContact, open_socket: SocketFactory = open_client_socket
+    ) -> None:
+        self._contact = contact
+        self._open_socket = open_socket
         self._session: aiohttp.ClientSession | None = None
         self._buffer = ResponseBuffer()
 
@@ -301,7 +315,9 @@
                 _KEEPALIVE_S,
                 response_class=MatchedResponse,
                 request_class=_CheckedRequest,
-                protocol_class=BoundedResponseHandler,
+                protocol_class=functools.partial(TargetConnection, self._contact),
+                connector_class=functools.partial(TargetConnector, self._contact),
+                open_socket=self._open_socket,
             )
         progress = _SendProgress(may_still_send, request.deadline_ms)
         _progress.set(progress)
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -98,7 +98,7 @@
 
     def may_send(self, now_ms: int) -> bool:
         """Return whether the target, its rate limit and its suspension allow a request now."""
-        if self.leaving or now_ms < self.suspended_until_ms:
+        if self.leaving or self.is_suspended(now_ms):
             return False
         if self.pause is not None and not self.pause.may_send(now_ms, len(self.in_flight)):
             return False
@@ -197,6 +197,10 @@
         """Exclude the target for a short time after a failed connection."""
         self.suspended_until_ms = now_ms + _SUSPEND_MS
 
+    def is_suspended(self, now_ms: int) -> bool:
+        """Return whether the target is excluded after a failed connection."""
+        return now_ms < self.suspended_until_ms
+
 
 class TargetRegistry:
     """All targets by service; `version` increases when earlier rankings may be outdated.
@@ -283,6 +287,10 @@
         self._rebuild_indexes()
         return self._by_service.get(service, [])
 
+    def count_suspended(self, service: str, now_ms: int) -> int:
+        """Return how many targets in use are excluded after a failed connection."""
+        return sum(state.is_suspended(now_ms) for state in self.list_usable(service))
+
     def count_in_flight(self) -> dict[int, int]:
         """Return the number of this instance's requests in flight by hash of the target id."""
         self._rebuild_indexes()
--- a/tests/serving/test_leaving_target.py
+++ b/tests/serving/test_leaving_target.py
@@ -9,7 +9,8 @@
 from multidict import CIMultiDict
 
 from standins.platform_target import PlatformTargetStandIn, ResponseMode
-from waxwingshelf.serving.upstream import FailureKind, OutgoingRequest, SendFailure, UpstreamClient
+from tests.serving.clients import build_upstream_client
+from waxwingshelf.serving.upstream import FailureKind, OutgoingRequest, SendFailure
 from waxwingshelf.steering.targets import Target
 
 
@@ -132,7 +133,7 @@
     async def main() -> None:
         standin = PlatformTargetStandIn("t")
         await standin.start()
-        client = UpstreamClient()
+        client = build_upstream_client()
         target = Target("t", "work", "127.0.0.1", standin.port, "north-1", "", 4, False, 0, 0)
         headers = CIMultiDict({"Attempt-Id": "id-1", "Expected-Instance": "t"})
         request = OutgoingRequest("POST", "/x", headers, b"body", "id-1")
@@ -153,7 +154,7 @@
 
     async def main() -> None:
         with open_unresponsive_port() as port:
-            client = UpstreamClient()
+            client = build_upstream_client()
             target = Target("t", "work", "127.0.0.1", port, "north-1", "", 4, False, 0, 0)
             request = OutgoingRequest("POST", "/x", CIMultiDict(), b"body", "id-1")
             result = await client.send(target, request, 300)
--- a/tests/serving/test_upstream.py
+++ b/tests/serving/test_upstream.py
@@ -6,12 +6,12 @@
 from multidict import CIMultiDict
 
 from standins.platform_target import PlatformTargetStandIn, ResponseMode
+from tests.serving.clients import build_upstream_client
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.serving.upstream import (
     FailureKind,
     OutgoingRequest,
     SendFailure,
-    UpstreamClient,
     UpstreamResponse,
 )
 from waxwingshelf.steering.targets import Target
@@ -42,7 +42,7 @@
     standin = PlatformTargetStandIn("t")
     standin.response_mode = response_mode
     await standin.start()
-    client = UpstreamClient()
+    client = build_upstream_client()
     try:
         results = []
         for index in range(times):
@@ -78,7 +78,7 @@
     async def main() -> None:
         standin = PlatformTargetStandIn("other")
         await standin.start()
-        client = UpstreamClient()
+        client = build_upstream_client()
         result = await client.send(make_target(standin), make_request(1), 1_000)
         assert isinstance(result, SendFailure)
         assert result.kind is FailureKind.WRONG_TARGET
@@ -94,7 +94,7 @@
         standin = PlatformTargetStandIn("t")
         await standin.start()
         await standin.stop()
-        client = UpstreamClient()
+        client = build_upstream_client()
         result = await client.send(make_target(standin), make_request(1), 1_000)
         assert isinstance(result, SendFailure)
         assert result.kind is FailureKind.NOT_CONNECTED
@@ -107,7 +107,7 @@
     async def main() -> None:
         standin = PlatformTargetStandIn("t", work_s=5.0)
         await standin.start()
-        client = UpstreamClient()
+        client = build_upstream_client()
         result = await client.send(make_target(standin), make_request(1), 100)
         assert isinstance(result, SendFailure)
         assert result.kind is FailureKind.TIMEOUT
@@ -126,7 +126,7 @@
         standin = PlatformTargetStandIn("t")
         standin.idle_timeout_s = 1
         await standin.start()
-        client = UpstreamClient()
+        client = build_upstream_client()
         for index, pause_s in enumerate((0.0, 0.1, 0.7)):
             await asyncio.sleep(pause_s)
             result = await client.send(make_target(standin), make_request(index), 1_000)
@@ -145,7 +145,7 @@
     async def main() -> None:
         standin = PlatformTargetStandIn("t")
         await standin.start()
-        client = UpstreamClient()
+        client = build_upstream_client()
         await client.send(make_target(standin), make_request(0), 1_000)
         connect = client._session.connector.connect
 
