Add a failing test of instances that are cut off from all targets

The test gives each instance its own links to the targets and cuts those of one instance, most or all of a failure domain, in fleets of 3, 6 and 12: silently, by resets, and so that open connections live on while new ones are refused (load then doubles). The bounds are the rule's: two thirds of what the others serve, or 10 + 1 in 50 failures, from 3 s after the cut; the others are served throughout, no order runs twice, a refusal as not run is true. Another test: where no instance reaches a target, the refusal comes at once.

--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -15,11 +15,13 @@
 from tests.waits import wait_until
 from tools.processes import find_ports
 from waxwingshelf.platform.settings import Bounds, Endpoint, InstanceSettings
+from waxwingshelf.serving.client_sessions import SocketFactory, open_client_socket
 from waxwingshelf.serving.instance import Instance
 from waxwingshelf.serving.logs import LogBuffer
 
 HOST = "127.0.0.1"
 WAIT_S = 10.0
+REGIONS = {"north-1": "north", "south-1": "south"}
 CONFIG: dict[str, Any] = {
     "version": "r1",
     "limits": {"max_body_bytes": 100_000},
@@ -85,13 +87,20 @@
         self.register(name)
         return target
 
-    def register(self, name: str, state: str = "ready", born: int = 0, **status: Any) -> None:
+    def register(
+        self,
+        name: str,
+        state: str = "ready",
+        born: int = 0,
+        failure_domain: str = "north-1",
+        **status: Any,
+    ) -> None:
         target = self.targets[name]
         self.store.put(
             f"servers/{name}",
             {
                 "address": f"{HOST}:{target.port}",
-                "information": {"service": "work", "zone": "north-1", "slots": 4},
+                "information": {"service": "work", "zone": failure_domain, "slots": 4},
                 "status": {"state": state, "sequence": 1, "cold_remaining_ms": 0, **status},
                 "born": born,
             },
@@ -103,12 +112,18 @@
         self.allocated_ports.update(ports)
         return ports
 
-    async def start_instance(self, name: str, grace_period_ms: int = 4_000) -> Instance:
+    async def start_instance(
+        self,
+        name: str,
+        grace_period_ms: int = 4_000,
+        failure_domain: str = "north-1",
+        open_target_socket: SocketFactory = open_client_socket,
+    ) -> Instance:
         ports = self._allocate_ports(6)
         settings = InstanceSettings(
             name=name,
-            region="north",
-            failure_domain="north-1",
+            region=REGIONS[failure_domain],
+            failure_domain=failure_domain,
             callers=Endpoint(HOST, ports[0]),
             readiness=Endpoint(HOST, ports[1]),
             directory=Endpoint(HOST, ports[2]),
@@ -116,11 +131,13 @@
             store=Endpoint(HOST, self.store_port),
             seeds=tuple(other.peer_state for other in self.settings.values()),
             peer_ports=(ports[4], ports[5]),
-            regions={"north-1": "north", "south-1": "south"},
+            regions=REGIONS,
             bounds=Bounds(grace_period_ms=grace_period_ms),
         )
         self.settings[name] = settings
-        instance = Instance(settings, LogBuffer(descriptor=2))
+        instance = Instance(
+            settings, LogBuffer(descriptor=2), open_target_socket=open_target_socket
+        )
         self.instances[name] = instance
         self.tasks.append(asyncio.create_task(instance.run()))
         return instance
--- a/tests/serving/test_leaving_target.py
+++ b/tests/serving/test_leaving_target.py
@@ -1,32 +1,17 @@
 """A target whose responses say that it is leaving gets no new requests, on loopback."""
 
 import asyncio
-import contextlib
-import socket
-from collections.abc import Iterator
 
 import pytest
 from multidict import CIMultiDict
 
 from standins.platform_target import PlatformTargetStandIn, ResponseMode
 from tests.serving.clients import build_upstream_client
+from tests.serving.target_links import open_unresponsive_port
 from waxwingshelf.serving.upstream import FailureKind, OutgoingRequest, SendFailure
 from waxwingshelf.steering.targets import Target
 
 
-@contextlib.contextmanager
-def open_unresponsive_port() -> Iterator[int]:
-    """Yield a port where connections neither open nor fail, since its queue of them is full."""
-    with contextlib.ExitStack() as stack:
-        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
-        port = listener.getsockname()[1]
-        for _ in range(4):
-            client = stack.enter_context(socket.socket())
-            client.setblocking(False)
-            client.connect_ex(("127.0.0.1", port))
-        yield port
-
-
 async def send_until_heard(deployment, target) -> None:
     """Send requests for different objects until one has reached the target."""
     for number in range(40):
