Send through a peer while an instance reaches no target

Cause: an instance knew only its own way to the targets, and took every failure for the target's. The peers, which reached every target, were not asked, and the directory went on naming the instance. The class: a failure of one's own link is put down to the other side, although others know better.

Until a probe is accepted, requests go to their target through a peer that reaches targets (serving.target_sender, serving.relay): all decisions stay where the request came in, the peer only sends, and sends nothing to a target that it knows to be leaving or paused. Sends that wait for a connection move at once, idempotent ones that hang too (within the retry budget); others may have run and are not repeated. Bound requests pass only through peers in their regions. Connections that live on are used while they bring responses. Heartbeats tell peers and the directory; where nobody reaches a target, the refusal (targets_unreachable, 503) comes at once.

Ruled out: leaving the directory alone (callers keep its responses for up to 15 s); refusing connections or readiness (the instance can serve); relaying whole requests to be dispatched by the peer (rates, retries and cold limits would be counted twice).

--- /dev/null
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -0,0 +1,196 @@
+"""HTTP exchanges with targets: requests that are checked at the send, responses matched by id."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+
+import aiohttp
+
+from waxwingshelf.core.clock import SystemClock
+from waxwingshelf.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
+from waxwingshelf.platform.target_responses import decode_idle_timeout
+from waxwingshelf.serving.response_buffer import BoundedResponseHandler, ResponseLimitError
+
+__all__ = [
+    "CheckedRequest",
+    "IdleConnectionError",
+    "MatchedResponse",
+    "SendProgress",
+    "SendWithdrawnError",
+    "abort_connection",
+    "set_progress",
+]
+
+# A request must reach a target before it closes the idle connection.
+_IDLE_MARGIN_MS = 500
+_MAX_SKIPPED_RESPONSES = 16
+_clock = SystemClock()
+
+
+class IdleConnectionError(aiohttp.ClientError):
+    """The target may be about to close the connection that the pool chose."""
+
+
+class SendWithdrawnError(aiohttp.ClientError):
+    """The target stopped accepting requests, or the deadline passed, before the send."""
+
+
+@dataclass(slots=True, eq=False)
+class SendProgress:
+    """The permission of a request to be sent, its deadline, and whether writing it has begun.
+
+    `started_ms` is when the send began to look for a connection. A send that is `abandoned` ends at
+    once. `is_idempotent` requests may be abandoned and sent again although writing has begun.
+    """
+
+    may_still_send: Callable[[], bool]
+    deadline_ms: int | None
+    started_ms: int
+    is_idempotent: bool
+    timeout: asyncio.Timeout
+    begun: bool = False
+    abandoned: bool = False
+
+    def abandon(self) -> None:
+        """End the send at once, as if its time were over."""
+        if self.timeout.expired():
+            return
+        self.abandoned = True
+        self.timeout.reschedule(asyncio.get_running_loop().time())
+
+
+# The progress of the request that the current task sends.
+_progress: ContextVar[SendProgress] = ContextVar("send_progress")
+
+
+def set_progress(progress: SendProgress) -> None:
+    """Set the progress of the request that the current task is about to send."""
+    _progress.set(progress)
+
+
+class CheckedRequest(aiohttp.ClientRequest):
+    """A request that checks its permission again once it has a connection."""
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request, or raise `SendWithdrawnError` or `IdleConnectionError`."""
+        protocol = conn.protocol
+        if isinstance(protocol, BoundedResponseHandler):
+            if protocol.is_idle_too_long(_clock.now_ms()):
+                raise IdleConnectionError
+            protocol.set_idle_until(None)
+        progress = _progress.get()
+        if not progress.may_still_send():
+            raise SendWithdrawnError
+        if progress.deadline_ms is not None:
+            remaining_ms = progress.deadline_ms - _clock.now_ms()
+            if remaining_ms <= 0:
+                raise SendWithdrawnError
+            self.headers[DEADLINE_HEADER] = str(remaining_ms)
+        progress.begun = True
+        return await super().send(conn)
+
+
+class MatchedResponse(aiohttp.ClientResponse):
+    """A response that skips responses to other requests on the same connection.
+
+    A target may send a second response to an earlier request; the request id that the target
+    echoes identifies the request that a response belongs to.
+    """
+
+    _starting = False
+    _eof_while_starting = False
+    _connection_closed: asyncio.Future[None] | None = None
+
+    async def start(self, connection: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Read response heads until one belongs to the request."""
+        expected_id = self.request_info.headers.get(REQUEST_ID_HEADER)
+        self._starting = True
+        # Obtained before the head is read, since the connection may close together with the body.
+        self._connection_closed = _watch_close(connection)
+        try:
+            await self._start_matching(connection, expected_id)
+        except BaseException:
+            abort_connection(connection)
+            raise
+        self._starting = False
+        self._set_in_body(connection, True)
+        if self._eof_while_starting:
+            self._response_eof()
+        return self
+
+    async def _start_matching(
+        self, connection: aiohttp.connector.Connection, expected_id: str | None
+    ) -> None:
+        for _ in range(_MAX_SKIPPED_RESPONSES + 1):
+            self._eof_while_starting = False
+            await super().start(connection)
+            echoed_id = self.headers.get(REQUEST_ID_HEADER)
+            if echoed_id is None or echoed_id == expected_id:
+                return
+            while await self.content.readany():
+                pass
+        raise ResponseLimitError(f"{_MAX_SKIPPED_RESPONSES} responses to other requests")
+
+    def reset(self) -> None:
+        """Reset the connection of a response that was not read completely."""
+        if self.connection is not None:
+            abort_connection(self.connection)
+        self.close()
+
+    def was_reset(self) -> bool:
+        """Return whether a close-delimited body was truncated by a connection reset."""
+        if not self._is_close_delimited():
+            return False
+        closed = self._connection_closed
+        return closed is None or (closed.done() and closed.exception() is not None)
+
+    def _is_close_delimited(self) -> bool:
+        chunked = "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+        return "Content-Length" not in self.headers and not chunked
+
+    def _response_eof(self) -> None:
+        if self._starting:
+            self._eof_while_starting = True
+            return
+        if self.connection is not None:
+            self._set_in_body(self.connection, False)
+            self._set_idle_until(self.connection)
+        super()._response_eof()
+
+    def _set_idle_until(self, connection: aiohttp.connector.Connection) -> None:
+        idle_timeout_ms = decode_idle_timeout(self.headers)
+        if idle_timeout_ms is None or not isinstance(connection.protocol, BoundedResponseHandler):
+            return
+        until_ms = _clock.now_ms() + idle_timeout_ms - _IDLE_MARGIN_MS
+        connection.protocol.set_idle_until(until_ms)
+
+    def _set_in_body(self, connection: aiohttp.connector.Connection, in_body: bool) -> None:
+        if isinstance(connection.protocol, BoundedResponseHandler):
+            connection.protocol.set_in_body(in_body)
+
+
+def abort_connection(connection: aiohttp.connector.Connection) -> None:
+    """Reset a connection, so that data not yet delivered is discarded.
+
+    After an ordinary close, a request held up by a broken network link would run once the link
+    recovers, although its caller no longer waits for the response.
+    """
+    if connection.protocol is not None:
+        connection.protocol.abort()
+
+
+def _watch_close(connection: aiohttp.connector.Connection) -> asyncio.Future[None] | None:
+    protocol = connection.protocol
+    closed = protocol.closed if protocol is not None else None
+    if closed is not None:
+        # The error is seldom needed; retrieving it keeps asyncio from reporting it as unhandled.
+        closed.add_done_callback(_retrieve_error)
+    return closed
+
+
+def _retrieve_error(closed: asyncio.Future[None]) -> None:
+    if not closed.cancelled():
+        closed.exception()
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -128,11 +128,21 @@
 
     def record_report(self, attempt: Attempt, report: TargetReport) -> None:
         """Take over what the response to an attempt says of its target."""
+        is_in_flight = attempt.number in attempt.state.in_flight
+        self.apply_report(attempt.state, report, own_requests=int(is_in_flight))
+
+    def apply_report(
+        self, sent_to: TargetState, report: TargetReport, own_requests: int = 0
+    ) -> None:
+        """Take over what a response to a request sent to a target says of the target.
+
+        `own_requests` is 1 if the request is still among those in flight there, else 0.
+        """
         now_ms = self._clock.now_ms()
-        state: TargetState | None = attempt.state
+        state: TargetState | None = sent_to
         # The address may belong to another target by now, which then speaks for itself.
-        if report.target_id != attempt.state.target.id:
-            state = self._routing_state.targets.find(report.target_id)
+        if report.target_id != sent_to.target.id:
+            state, own_requests = self._routing_state.targets.find(report.target_id), 0
         if state is None:
             return
         if report.leaving:
@@ -142,8 +152,7 @@
         elif state.end_pause(now_ms):
             _log.info("target_resumed", target=state.target.id, service=state.target.service)
         if report.load is not None:
-            others = len(state.in_flight) - (attempt.number in state.in_flight)
-            state.record_load(report.load, now_ms, others)
+            state.record_load(report.load, now_ms, len(state.in_flight) - own_requests)
         if report.limit is not None:
             self._record_limit(state, report.limit, now_ms)
 
@@ -162,6 +171,8 @@
             self._record_duration(route, attempt, now_ms - attempt.sent_ms, now_ms)
             state.record_warm_object(object_key, now_ms)
             return
+        if result.links_lost or result.kind is FailureKind.UNREACHABLE:
+            return
         if result.kind is FailureKind.WRONG_TARGET:
             self._routing_state.targets.remove(state.target.id)
         elif result.kind is FailureKind.NOT_CONNECTED:
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -13,13 +13,13 @@
 from waxwingshelf.serving.dispatch_state import Attempt, DispatchState
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
-from waxwingshelf.serving.upstream import (
+from waxwingshelf.serving.send_results import (
     FailureKind,
     OutgoingRequest,
     SendFailure,
-    UpstreamClient,
     UpstreamResponse,
 )
+from waxwingshelf.serving.target_sender import TargetSender
 from waxwingshelf.steering.attempts import AttemptOutcome, Attempts, NextStep
 from waxwingshelf.steering.config import RouteRule
 from waxwingshelf.steering.placement import PlacementRequest
@@ -34,6 +34,7 @@
 _QUEUE_POLL_INTERVAL_S = 0.02
 _OUTCOMES = {
     FailureKind.NOT_CONNECTED: AttemptOutcome.NOT_CONNECTED,
+    FailureKind.UNREACHABLE: AttemptOutcome.UNREACHABLE,
     FailureKind.WITHDRAWN: AttemptOutcome.NOT_CONNECTED,
     FailureKind.SHED: AttemptOutcome.NOT_RUN,
     FailureKind.WRONG_TARGET: AttemptOutcome.NOT_RUN,
@@ -90,13 +91,13 @@
         self,
         routing_state: RoutingState,
         dispatch_state: DispatchState,
-        upstream: UpstreamClient,
+        sender: TargetSender,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._routing_state = routing_state
         self._dispatch_state = dispatch_state
-        self._upstream = upstream
+        self._sender = sender
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
@@ -172,6 +173,12 @@
 
     def _find_why_unplaceable(self, exchange: Exchange) -> _NoPlacement | None:
         """Return why no target will accept the request in time, or None if one may."""
+        if not self._sender.may_reach(exchange.allowed_regions):
+            return _NoPlacement(
+                RefusalReason.TARGETS_UNREACHABLE,
+                "no instance reaches the targets",
+                choose_retry_after_ms(),
+            )
         now_ms = self._clock.now_ms()
         earliest_ms = self._dispatch_state.placer.find_earliest_send_ms(
             exchange.service, exchange.allowed_regions, now_ms
@@ -210,11 +217,13 @@
     def _refuse_unplaceable(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
         """Refuse the waiting requests that no target will accept in time.
 
-        That can change only when the targets change or ask for a pause.
+        That can change only when the targets change or ask for a pause, or while this instance
+        depends on peers to reach them.
         """
         targets = self._routing_state.targets
         version = (targets.version, targets.pauses)
-        if self._judged_versions.get(service) == version:
+        is_judged = self._judged_versions.get(service) == version
+        if is_judged and self._sender.reaches_directly():
             return
         self._judged_versions[service] = version
         for waiter in queue.list_in_send_order(self._clock.now_ms()):
@@ -257,10 +266,11 @@
         exchange.last_attempt = attempt
         try:
             response_timeout_ms = max(1, exchange.response_deadline_ms - self._clock.now_ms())
-            result = await self._upstream.send(
+            result = await self._sender.send(
                 target,
                 outgoing,
                 response_timeout_ms,
+                exchange.allowed_regions,
                 handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
                 may_still_send=lambda: not attempt.state.refuses_requests(self._clock.now_ms()),
             )
--- a/src/waxwingshelf/serving/headers.py
+++ b/src/waxwingshelf/serving/headers.py
@@ -14,7 +14,7 @@
     ORGANISATION_HEADER,
 )
 
-__all__ = ["copy_request_headers", "copy_response_headers", "parse_deadline"]
+__all__ = ["copy_end_to_end_headers", "copy_request_headers", "parse_deadline"]
 
 _CONNECTION_HEADERS = HOP_BY_HOP_HEADERS | {"proxy-connection"}
 # Never copied from the caller: this instance sets these headers or is their only reader.
@@ -30,8 +30,8 @@
     return _copy_headers(headers, _CONNECTION_HEADERS | _INTERNAL_REQUEST_HEADERS)
 
 
-def copy_response_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
-    """Return the response headers to forward to the caller."""
+def copy_end_to_end_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+    """Return the headers without those that concern only one connection."""
     return _copy_headers(headers, _CONNECTION_HEADERS)
 
 
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -32,10 +32,13 @@
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.peers import PeerNetwork
 from waxwingshelf.serving.rate_limiter import RateLimiter
+from waxwingshelf.serving.reachability_prober import ReachabilityProber
+from waxwingshelf.serving.relay import RelayEndpoint
 from waxwingshelf.serving.requests import RequestHandler
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.store_watcher import StoreWatcher
 from waxwingshelf.serving.target_connections import TargetContact
+from waxwingshelf.serving.target_sender import TargetSender
 from waxwingshelf.serving.upstream import UpstreamClient
 from waxwingshelf.steering.config import CallerLimits
 from waxwingshelf.steering.fleet import Fleet
@@ -107,12 +110,29 @@
         self._dispatch_state = dispatch_state = DispatchState(
             settings.name, locality, settings.bounds, self._routing_state, self._fleet, clock
         )
+        self._prober = ReachabilityProber(
+            self._target_contact,
+            self._upstream,
+            self._routing_state.targets,
+            open_target_socket,
+            clock,
+            metrics,
+        )
+        self._prober.on_changed = self._peer_network.announce_reach
+        self._peer_network.reaches_targets = lambda: not self._prober.has_lost_links
+        self._relay = RelayEndpoint(
+            self._upstream,
+            self._prober,
+            dispatch_state,
+            self._routing_state.targets,
+            clock,
+            metrics,
+        )
+        sender = TargetSender(self._upstream, self._prober, self._fleet, clock, metrics)
         durations = dispatch_state.duration_average
         self._peer_network.get_mean_duration_ms = lambda: durations.mean_ms
         regions = frozenset(settings.regions.values())
-        self._dispatcher = Dispatcher(
-            self._routing_state, dispatch_state, self._upstream, clock, metrics
-        )
+        self._dispatcher = Dispatcher(self._routing_state, dispatch_state, sender, clock, metrics)
         self._rate_limiter = rate_limiter = RateLimiter(
             self._demand_tracker,
             self._fleet,
@@ -131,7 +151,13 @@
             regions,
         )
         self._internal_endpoints = InternalEndpoints(
-            self._peer_network, self._fleet, clock, metrics, logs, settings.bounds.max_ttl_ms
+            self._peer_network,
+            self._fleet,
+            clock,
+            metrics,
+            logs,
+            settings.bounds.max_ttl_ms,
+            self._relay,
         )
         self._servers: list[asyncio.Server] = []
         self._idle_timeout_s = _DEFAULT_KEEPALIVE_S
@@ -183,6 +209,7 @@
             asyncio.create_task(self._announce_ready()),
             asyncio.create_task(self._run_updates()),
             asyncio.create_task(self._dispatcher.run()),
+            asyncio.create_task(self._prober.run()),
             asyncio.create_task(self._pull_from_seeds()),
             asyncio.create_task(self._poll_settings()),
         ]
@@ -276,7 +303,8 @@
                 break
             if elapsed_ms >= _REFUSE_NEW_AFTER_S * _MS_PER_S:
                 self._request_handler.refusing_requests = True
-                if self._request_handler.in_flight == 0:
+                self._relay.refusing_requests = True
+                if self._request_handler.in_flight + self._relay.in_flight == 0:
                     break
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
         for server in self._servers:
--- a/src/waxwingshelf/serving/internal_endpoints.py
+++ b/src/waxwingshelf/serving/internal_endpoints.py
@@ -12,6 +12,8 @@
 from waxwingshelf.serving.logs import LogBuffer
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.peers import STATE_PATH, PeerNetwork
+from waxwingshelf.serving.relay import RelayEndpoint
+from waxwingshelf.serving.relay_messages import RELAY_PATH
 from waxwingshelf.steering.directory import choose_addresses
 from waxwingshelf.steering.fleet import Fleet
 
@@ -38,7 +40,9 @@
         metrics: Metrics,
         logs: LogBuffer,
         max_ttl_ms: int,
+        relay: RelayEndpoint,
     ) -> None:
+        self._relay = relay
         self._peer_network = peer_network
         self._fleet = fleet
         self._clock = clock
@@ -54,6 +58,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Route a request to the handler of its path; respond 404 to unknown paths."""
+        if request.path.startswith(RELAY_PATH):
+            return await self._relay.handle(request)
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
@@ -68,7 +74,10 @@
             ready.append(self._peer_network.address)
         region = request.query.get("region", "")
         failure_domain = request.query.get("zone", "")
-        addresses = choose_addresses(ready, region, failure_domain)
+        without_targets = self._fleet.list_without_targets()
+        if not self._peer_network.reaches_targets():
+            without_targets.add(self._peer_network.address.name)
+        addresses = choose_addresses(ready, without_targets, region, failure_domain)
         if not addresses:
             return web.Response(status=503)
         body = msgspec.json.encode(_Addresses(addresses, self._ttl_s))
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -69,6 +69,18 @@
             "Time since this instance last heard from any target.",
             registry=registry,
         )
+        self.target_reach = Gauge(
+            "waxwingshelf_targets_reachable",
+            "1 if this instance can open connections to targets, else 0.",
+            registry=registry,
+        )
+        self.target_reach.set(1)
+        self.relays = Counter(
+            "waxwingshelf_relays",
+            "Requests sent to targets through peers (`asked`) and for peers (`served`), by result.",
+            ["side", "result"],
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "waxwingshelf_requests_in_flight",
             "Requests in progress.",
--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -55,7 +55,8 @@
     """A heartbeat for instances that know its sender; `demand` is in tenths of requests per second.
 
     `name_hash` and `boot` identify the sender's process. `acked_boot` and `acked_number` are the
-    heartbeat's ack; `acked_boot` is None if the sender's build does not tell.
+    heartbeat's ack; `acked_boot` is None if the sender's build does not tell. `reaches_targets` is
+    the heartbeat's.
     """
 
     name_hash: int
@@ -69,6 +70,7 @@
     config_version: int
     acked_boot: int | None = None
     acked_number: int = 0
+    reaches_targets: bool | None = None
 
 
 class BriefLoadReport(msgspec.Struct, array_like=True):
@@ -118,6 +120,7 @@
         heartbeat.config_version,
         heartbeat.ack.boot if heartbeat.ack else None,
         heartbeat.ack.number if heartbeat.ack else 0,
+        heartbeat.reaches_targets,
     )
     return BRIEF_HEARTBEAT_TYPE + msgspec.msgpack.encode(brief)
 
@@ -154,6 +157,7 @@
         brief.config_version,
         brief=True,
         ack=ack,
+        reaches_targets=brief.reaches_targets,
     )
 
 
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -137,6 +137,7 @@
             CHANGES_TYPE: self._handle_changes,
         }
         self.ready = False
+        self.reaches_targets: Callable[[], bool] = lambda: True
         self.is_watching: Callable[[], bool] = lambda: True
         self.get_mean_duration_ms: Callable[[], float | None] = lambda: None
         self.on_shares_updated: Callable[[], None] = lambda: None
@@ -192,6 +193,14 @@
             encode = encode_brief_heartbeat if peer.brief else encode_heartbeat
             self.send_to(peer.address, encode(addressed))
 
+    def announce_reach(self) -> None:
+        """Tell peers at once that this instance lost its links to the targets, or regained them."""
+        self.send_heartbeats()
+        if self._fleet.is_large():
+            data = encode_heartbeat(self._make_heartbeat())
+            for address in self._fleet.list_in_region(self.address.region):
+                self.send_to(address, data)
+
     def announce_changes(self, after: int, batch: WatchBatch) -> None:
         """In a large fleet, immediately send changes after a revision to all peers of the region.
 
@@ -234,6 +243,7 @@
             self._routing_state.config_version,
             brief=True,
             ack=DemandAck(),
+            reaches_targets=self.reaches_targets(),
         )
         self._fleet.record_sent_heartbeat(heartbeat, self._clock.now_ms())
         return heartbeat
--- /dev/null
+++ b/src/waxwingshelf/serving/relay.py
@@ -0,0 +1,118 @@
+"""Send requests to targets for peers that reach none themselves."""
+
+from __future__ import annotations
+
+import sys
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from waxwingshelf.core.clock import Clock
+from waxwingshelf.platform.names import REQUEST_ID_HEADER
+from waxwingshelf.serving.bodies import read_body
+from waxwingshelf.serving.dispatch_state import DispatchState
+from waxwingshelf.serving.headers import copy_end_to_end_headers, parse_deadline
+from waxwingshelf.serving.metrics import Metrics
+from waxwingshelf.serving.reachability_prober import ReachabilityProber
+from waxwingshelf.serving.relay_messages import (
+    FAILURE_HEADER,
+    encode_relay_failure,
+    split_relay_path,
+)
+from waxwingshelf.serving.send_results import FailureKind, OutgoingRequest, SendFailure
+from waxwingshelf.serving.upstream import UpstreamClient, UpstreamResponse
+from waxwingshelf.steering.targets import TargetRegistry, TargetState
+
+__all__ = ["RelayEndpoint"]
+
+_DEFAULT_TIMEOUT_MS = 30_000
+# The peer waits for a response that the target sent just before the deadline.
+_RESPONSE_TRANSIT_MS = 120
+
+
+class RelayEndpoint:
+    """Handle peers' requests; the peer has routed and admitted them and chosen the target."""
+
+    def __init__(
+        self,
+        upstream: UpstreamClient,
+        prober: ReachabilityProber,
+        dispatch_state: DispatchState,
+        targets: TargetRegistry,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._upstream = upstream
+        self._prober = prober
+        self._dispatch_state = dispatch_state
+        self._targets = targets
+        self._clock = clock
+        self._metrics = metrics
+        self.refusing_requests = False
+        self.in_flight = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Send a peer's request to its target, and return the target's response."""
+        self.in_flight += 1
+        try:
+            result = await self._send(request)
+        finally:
+            self.in_flight -= 1
+        if isinstance(result, SendFailure):
+            self._metrics.relays.labels("served", result.kind.value).inc()
+            return _build_failure_response(request, result)
+        self._metrics.relays.labels("served", "response").inc()
+        headers = copy_end_to_end_headers(result.headers)
+        headers.popall(FAILURE_HEADER, None)
+        return web.Response(status=result.status, headers=headers, body=result.body)
+
+    async def _send(self, request: web.BaseRequest) -> UpstreamResponse | SendFailure:
+        target_id, raw_path = split_relay_path(request.raw_path)
+        if self.refusing_requests or not self._prober.may_send():
+            detail = "stopping" if self.refusing_requests else "no target can be reached"
+            return SendFailure(FailureKind.UNREACHABLE, target_id, detail)
+        state = self._targets.find_usable(target_id)
+        if state is None:
+            return SendFailure(FailureKind.WITHDRAWN, target_id, "the target is not in use")
+        outgoing, timeout_ms = await self._build_request(request, raw_path)
+        result = await self._upstream.fetch(
+            state.target,
+            outgoing,
+            timeout_ms,
+            handle_report=lambda report: self._dispatch_state.apply_report(state, report),
+            may_still_send=lambda: self._may_send_to(state),
+        )
+        if isinstance(result, SendFailure) and result.kind is FailureKind.NOT_CONNECTED:
+            if await self._prober.are_links_lost():
+                return SendFailure(FailureKind.UNREACHABLE, target_id, result.detail)
+        return result
+
+    async def _build_request(
+        self, request: web.BaseRequest, raw_path: str
+    ) -> tuple[OutgoingRequest, int]:
+        """Return the request for the target, and how long to wait for its response in ms."""
+        remaining_ms = parse_deadline(request.headers)
+        deadline_ms = None if remaining_ms is None else self._clock.now_ms() + remaining_ms
+        timeout_ms = _DEFAULT_TIMEOUT_MS if remaining_ms is None else remaining_ms
+        outgoing = OutgoingRequest(
+            request.method,
+            raw_path,
+            copy_end_to_end_headers(request.headers),
+            # The peer has bounded the body.
+            await read_body(request, max_bytes=sys.maxsize),
+            request.headers.get(REQUEST_ID_HEADER, ""),
+            deadline_ms,
+        )
+        return outgoing, timeout_ms + _RESPONSE_TRANSIT_MS
+
+    def _may_send_to(self, state: TargetState) -> bool:
+        is_usable = self._targets.find_usable(state.target.id) is state
+        return is_usable and not state.refuses_requests(self._clock.now_ms())
+
+
+def _build_failure_response(request: web.BaseRequest, failure: SendFailure) -> web.Response:
+    headers: CIMultiDict[str] = encode_relay_failure(failure)
+    request_id = request.headers.get(REQUEST_ID_HEADER, "")
+    if request_id:
+        headers[REQUEST_ID_HEADER] = request_id
+    return web.Response(status=502, headers=headers, text=failure.detail)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -20,8 +20,8 @@
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher, Exchange, choose_retry_after_ms
 from waxwingshelf.serving.headers import (
+    copy_end_to_end_headers,
     copy_request_headers,
-    copy_response_headers,
     parse_deadline,
 )
 from waxwingshelf.serving.metrics import Metrics
@@ -191,7 +191,14 @@
             response_deadline_ms=started_ms
             + min(caller_timeout_ms, route.timeout_ms + _RESPONSE_TRANSIT_MS),
             allowed_regions=resolve_allowed_regions(route, organisation, self.regions),
-            outgoing=OutgoingRequest(request.method, request.raw_path, headers, None, request_id),
+            outgoing=OutgoingRequest(
+                request.method,
+                request.raw_path,
+                headers,
+                None,
+                request_id,
+                idempotent=route.idempotent,
+            ),
             attempts=Attempts(route.idempotent, route.attempts),
         )
 
@@ -203,7 +210,7 @@
         self._metrics.durations.labels("target").observe(elapsed_ms / _MS_PER_S)
         response = web.Response(
             status=upstream_response.status,
-            headers=copy_response_headers(upstream_response.headers),
+            headers=copy_end_to_end_headers(upstream_response.headers),
             body=upstream_response.body,
         )
         return self._close_if_stopping(response)
--- /dev/null
+++ b/src/waxwingshelf/serving/send_results.py
@@ -0,0 +1,87 @@
+"""Requests to send to targets, and how a send ended."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import StrEnum
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+__all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "UpstreamResponse"]
+
+
+class FailureKind(StrEnum):
+    """Why an attempt produced no response to forward."""
+
+    NOT_CONNECTED = "not_connected"
+    UNREACHABLE = "unreachable"
+    WITHDRAWN = "withdrawn"
+    SHED = "shed"
+    WRONG_TARGET = "wrong_target"
+    TIMEOUT = "timeout"
+    BROKEN = "broken"
+    CROSSED = "crossed"
+    UNSIGNED = "unsigned"
+    TOO_LARGE = "too_large"
+
+    @property
+    def certainly_not_run(self) -> bool:
+        """Return whether the request certainly did not run and never will."""
+        return self in _NOT_RUN_KINDS
+
+
+_NOT_RUN_KINDS = frozenset(
+    {
+        FailureKind.NOT_CONNECTED,
+        FailureKind.UNREACHABLE,
+        FailureKind.WITHDRAWN,
+        FailureKind.SHED,
+        FailureKind.WRONG_TARGET,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SendFailure:
+    """An attempt that produced no response to forward.
+
+    `links_lost` is set if this instance reached no target then, so that the failure says nothing of
+    this one.
+    """
+
+    kind: FailureKind
+    target_id: str
+    detail: str
+    links_lost: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamResponse:
+    """The complete response of a target."""
+
+    target_id: str
+    status: int
+    headers: CIMultiDictProxy[str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class OutgoingRequest:
+    """A request to send to a target; a streamed body can be sent only once.
+
+    The target is told how much time remains until `deadline_ms`, a clock reading, at the send.
+    """
+
+    method: str
+    raw_path: str
+    headers: CIMultiDict[str]
+    body: bytes | AsyncIterator[bytes] | None
+    request_id: str
+    deadline_ms: int | None = None
+    idempotent: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the body can be sent again."""
+        return self.body is None or isinstance(self.body, bytes)
--- a/src/waxwingshelf/steering/attempts.py
+++ b/src/waxwingshelf/steering/attempts.py
@@ -19,11 +19,13 @@
     """The outcome of one attempt, as far as the next step depends on it.
 
     After `NOT_RUN` the target has certainly not run the request; after `UNCERTAIN` it may have.
+    `UNREACHABLE` means that no instance could be found that reaches any target.
     """
 
     ANSWERED = "answered"
     ANSWERED_FAILURE = "answered_failure"
     NOT_CONNECTED = "not_connected"
+    UNREACHABLE = "unreachable"
     NOT_RUN = "not_run"
     UNCERTAIN = "uncertain"
     TIMED_OUT = "timed_out"
@@ -75,12 +77,14 @@
         """
         if outcome is AttemptOutcome.ANSWERED:
             return _DELIVER
-        if outcome is AttemptOutcome.NOT_CONNECTED:
+        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.UNREACHABLE):
             self.sends -= 1
         elif outcome is not AttemptOutcome.NOT_RUN:
             self.maybe_run = True
         if outcome is AttemptOutcome.TIMED_OUT:
             return RetryDecision(NextStep.REFUSE, RefusalReason.TIMEOUT_AFTER_SEND)
+        if outcome is AttemptOutcome.UNREACHABLE:
+            return RetryDecision(NextStep.REFUSE, RefusalReason.TARGETS_UNREACHABLE)
         reason = self._find_refusal_reason(outcome, take_retry)
         if reason is None:
             return _SEND_AGAIN
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -69,6 +69,8 @@
     mirror of the store; `config_version` is the configuration that it uses, or 0. `brief` is set if
     the sender reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat
     whose demand the sender's shares use; None if the sender's build does not tell.
+    `reaches_targets` is False if the sender has lost its links to the targets, and None if its
+    build does not tell and does not send to targets for peers.
     """
 
     address: PeerAddress
@@ -82,6 +84,7 @@
     config_version: int = 0
     brief: bool = False
     ack: DemandAck | None = None
+    reaches_targets: bool | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +117,7 @@
     ready: bool = False
     watching: bool = False
     brief: bool = False
+    reaches_targets: bool | None = None
     position: Position = field(default_factory=Position)
     config_version: int = 0
     demand: dict[str, float] = field(default_factory=dict)
@@ -150,6 +154,7 @@
         self._started_ms = now_ms
         self._silent_peer_caps: dict[str, SilentPeerCap] = {}
         self._sent_demand = SentDemand()
+        self._rng = random.Random(name)
         self.last_store_contact_ms: int | None = None
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
@@ -184,6 +189,7 @@
         peer.watching = heartbeat.watching
         peer.brief = heartbeat.brief
         peer.ack = heartbeat.ack
+        peer.reaches_targets = heartbeat.reaches_targets
         peer.last_heartbeat_ms = now_ms
         return True
 
@@ -324,6 +330,29 @@
             peer.address for peer in peers if peer.ready and self.has_recent_heartbeat(peer, now_ms)
         ]
 
+    def list_without_targets(self) -> set[str]:
+        """Return the names of the peers that have lost their links to the targets."""
+        return {name for name, peer in self._peers.items() if peer.reaches_targets is False}
+
+    def choose_relay(
+        self, allowed_regions: Collection[str], excluded: Collection[str], now_ms: int
+    ) -> PeerAddress | None:
+        """Return a peer that can send to targets for this instance, or None if there is none.
+
+        Peers in this instance's region are preferred. An empty `allowed_regions` allows all.
+        """
+        candidates = [
+            peer.address
+            for name, peer in self._peers.items()
+            if peer.ready
+            and peer.reaches_targets
+            and name not in excluded
+            and (not allowed_regions or peer.address.region in allowed_regions)
+            and self.has_recent_heartbeat(peer, now_ms)
+        ]
+        same_region = [address for address in candidates if address.region == self._region]
+        return self._rng.choice(same_region or candidates) if candidates else None
+
     def list_instance_names(self) -> list[str]:
         """Return the names of all instances that may be running, including this one."""
         return [self._name, *self._peers]
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -34,6 +34,7 @@
     OVER_RATE = "over_rate"
     NO_TARGET = "no_target"
     TARGETS_PAUSED = "targets_paused"
+    TARGETS_UNREACHABLE = "targets_unreachable"
     NO_ROOM = "no_room"
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS_USED = "attempts_used"
@@ -52,6 +53,7 @@
     RefusalReason.OVER_RATE: 429,
     RefusalReason.NO_TARGET: 503,
     RefusalReason.TARGETS_PAUSED: 503,
+    RefusalReason.TARGETS_UNREACHABLE: 503,
     RefusalReason.NO_ROOM: 503,
     RefusalReason.RETRY_BUDGET: 503,
     RefusalReason.ATTEMPTS_USED: 503,
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -287,6 +287,21 @@
         self._rebuild_indexes()
         return self._by_service.get(service, [])
 
+    def list_accepting(self, now_ms: int) -> list[TargetState]:
+        """Return the targets in use of all services that have not asked for a pause."""
+        self._rebuild_indexes()
+        return [
+            state
+            for states in self._by_service.values()
+            for state in states
+            if not state.refuses_requests(now_ms)
+        ]
+
+    def find_usable(self, target_id: str) -> TargetState | None:
+        """Return a target if it is in use: neither draining nor leaving nor evacuated."""
+        state = self._states.get(target_id)
+        return state if state is not None and self._is_usable(state) else None
+
     def count_suspended(self, service: str, now_ms: int) -> int:
         """Return how many targets in use are excluded after a failed connection."""
         return sum(state.is_suspended(now_ms) for state in self.list_usable(service))
@@ -325,12 +340,14 @@
         }
         by_service: dict[str, list[TargetState]] = {}
         for state in self._states.values():
-            target = state.target
-            is_ending = target.draining or state.leaving
-            if not is_ending and target.failure_domain not in self._evacuated:
-                by_service.setdefault(target.service, []).append(state)
+            if self._is_usable(state):
+                by_service.setdefault(state.target.service, []).append(state)
         self._by_service = by_service
 
+    def _is_usable(self, state: TargetState) -> bool:
+        is_ending = state.target.draining or state.leaving
+        return not is_ending and state.target.failure_domain not in self._evacuated
+
 
 def _is_new_run(known: Target, target: Target) -> bool:
     """Return whether an entry is of a later run of a target than the known one."""
