Let a send in progress hold no task

Change: the timeouts stand beside the sends in progress, and the permission is dropped after the send.

--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -42,32 +42,28 @@
 class SendProgress:
     """The permission of a request to be sent, its deadline, and whether writing it has begun.
 
-    `started_ms` is when the send began to look for a connection. A send that is `abandoned` ends at
-    once. `is_idempotent` requests may be abandoned and sent again although writing has begun.
+    `started_ms` is when the send began to look for a connection. `abandoned` is set if the send was
+    ended before its time. `is_idempotent` requests may be sent again although writing has begun.
     """
 
     may_still_send: Callable[[], bool]
     deadline_ms: int | None
     started_ms: int
     is_idempotent: bool
-    timeout: asyncio.Timeout
     begun: bool = False
     abandoned: bool = False
 
-    def abandon(self) -> None:
-        """End the send at once, as if its time were over."""
-        if self.timeout.expired():
-            return
-        self.abandoned = True
-        self.timeout.reschedule(asyncio.get_running_loop().time())
-
 
 # The progress of the request that the current task sends.
 _progress: ContextVar[SendProgress] = ContextVar("send_progress")
 
 
 def set_progress(progress: SendProgress) -> None:
-    """Set the progress of the request that the current task is about to send."""
+    """Set the progress of the request that the current task is about to send.
+
+    Event loops keep the contexts of cancelled timers for a while, so it must hold neither the task
+    nor, after the send, the request.
+    """
     _progress.set(progress)
 
 
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -99,8 +99,8 @@
         self._session: aiohttp.ClientSession | None = None
         self._peer_session: aiohttp.ClientSession | None = None
         self._buffer = ResponseBuffer()
-        # The sends in progress to targets, in the order in which they began.
-        self._sends: dict[SendProgress, None] = {}
+        # The sends in progress to targets with their timeouts, in the order in which they began.
+        self._sends: dict[SendProgress, asyncio.Timeout] = {}
 
     async def send(
         self,
@@ -135,15 +135,21 @@
                 open_socket=self._open_socket,
             )
         url = f"http://{target.host}:{target.port}{request.raw_path}"
-        timeout = asyncio.timeout(timeout_ms / _MS_PER_S)
-        progress = _start_progress(request, may_still_send, timeout)
-        self._sends[progress] = None
+        progress = _start_progress(request, may_still_send)
+        timeout = self._sends[progress] = asyncio.timeout(timeout_ms / _MS_PER_S)
         try:
             return await self._exchange(
-                self._session, URL(url, encoded=True), target, request, progress, handle_report
+                self._session,
+                URL(url, encoded=True),
+                target,
+                request,
+                progress,
+                timeout,
+                handle_report,
             )
         finally:
             del self._sends[progress]
+            progress.may_still_send = _allow
 
     async def fetch_through(
         self,
@@ -162,10 +168,10 @@
             self._peer_session = _build_session(protocol_class=BoundedResponseHandler)
         path = build_relay_path(target.id, request.raw_path)
         url = URL(f"http://{peer.host}:{peer.state_port}{path}", encoded=True)
+        progress = _start_progress(request, may_still_send)
         timeout = asyncio.timeout(timeout_ms / _MS_PER_S)
-        progress = _start_progress(request, may_still_send, timeout)
         result = await self._exchange(
-            self._peer_session, url, target, request, progress, handle_report
+            self._peer_session, url, target, request, progress, timeout, handle_report
         )
         if isinstance(result, UpstreamResponse):
             return decode_relay_failure(result) or result
@@ -181,9 +187,12 @@
 
     def abandon_stuck(self, including_sent: bool) -> None:
         """End the sends that wait for a connection, and idempotent ones too if `including_sent`."""
-        for progress in self._sends:
-            if not progress.begun or (including_sent and progress.is_idempotent):
-                progress.abandon()
+        now_s = asyncio.get_running_loop().time()
+        for progress, timeout in self._sends.items():
+            is_stuck = not progress.begun or (including_sent and progress.is_idempotent)
+            if is_stuck and not timeout.expired():
+                progress.abandoned = True
+                timeout.reschedule(now_s)
 
     async def _exchange(
         self,
@@ -192,11 +201,12 @@
         target: Target,
         request: OutgoingRequest,
         progress: SendProgress,
+        timeout: asyncio.Timeout,
         handle_report: ReportHandler,
     ) -> UpstreamResponse | SendFailure:
         set_progress(progress)
         try:
-            async with progress.timeout:
+            async with timeout:
                 async with _request(session, request, url) as response:
                     report = decode_target_report(
                         response.status, response.headers, target.id, request.request_id
@@ -249,12 +259,8 @@
     )
 
 
-def _start_progress(
-    request: OutgoingRequest, may_still_send: Callable[[], bool], timeout: asyncio.Timeout
-) -> SendProgress:
-    return SendProgress(
-        may_still_send, request.deadline_ms, _clock.now_ms(), request.idempotent, timeout
-    )
+def _start_progress(request: OutgoingRequest, may_still_send: Callable[[], bool]) -> SendProgress:
+    return SendProgress(may_still_send, request.deadline_ms, _clock.now_ms(), request.idempotent)
 
 
 @contextlib.asynccontextmanager
