Test requests that reach their target through a peer

Fleets of 18 instances, whose heartbeats go to a sample of the peers, join the cases of RECOVER.

The stand-in target reads chunked bodies, which a streamed upload needs.

No behaviour of src/ changes.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -100,7 +100,7 @@
             name.lower(): value.strip()
             for name, _, value in (line.partition(":") for line in header_lines if line)
         }
-        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        body = await _read_body(reader, headers)
         self.request_heads.append((request_line, headers))
         self.request_bodies.append(body)
         request_id = headers.get("attempt-id", "")
@@ -174,6 +174,17 @@
         return True
 
 
+async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+    if headers.get("transfer-encoding", "").lower() != "chunked":
+        return await reader.readexactly(int(headers.get("content-length", "0")))
+    chunks = []
+    while size := int(await reader.readline(), 16):
+        chunks.append(await reader.readexactly(size))
+        await reader.readline()
+    await reader.readline()
+    return b"".join(chunks)
+
+
 def _build_response(status: int, request_id: str, body: bytes, headers: list[str]) -> bytes:
     lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {request_id}", f"Content-Length: {len(body)}"]
     return ("\r\n".join(lines + headers) + "\r\n\r\n").encode() + body
--- a/tests/serving/test_unreachable_targets.py
+++ b/tests/serving/test_unreachable_targets.py
@@ -24,8 +24,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 DOMAINS = ("north-1", "south-1")
 TARGETS = {f"t{number}": DOMAINS[number % 2] for number in range(6)}
-# The number of instances, and how many of the first failure domain's lose all targets.
-FLEETS = [(3, 1), (3, 2), (6, 1), (6, 2), (6, 3), (12, 5), (12, 6)]
+# The number of instances, and how many of the first failure domain's lose all targets. In fleets of
+# more than 17, heartbeats go to a sample of the peers only.
+FLEETS = [(3, 1), (3, 2), (6, 1), (6, 2), (6, 3), (12, 5), (12, 6), (18, 8), (18, 9)]
 
 
 @dataclass(frozen=True)
