Let all targets be lost at once in the soak

A fault that the soak had not: the links of all instances to all targets go at once, silently, by resets, or so that new connections are refused while open ones live on; it overlaps with kills, pauses, stops, changes and restores of the store. One instance alone can't be cut off there, as the proxies can't tell the processes apart; tests/serving/test_unreachable_targets.py does that.

No behaviour of src/ changes.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -42,9 +42,16 @@
         self.port = 0
 
     async def start(self, host: str) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._handle_connection, host, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on a free port, or again on the same one after `refuse`."""
+        if self._server is None:
+            self._server = await asyncio.start_server(self._handle_connection, host, self.port)
+            self.port = self._server.sockets[0].getsockname()[1]
+
+    def refuse(self) -> None:
+        """Refuse new connections while open ones live on, until `start` is called."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
 
     def set_fault(self, fault: LinkFault) -> None:
         """Set the fault; RESET resets open connections immediately."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,7 @@
 import aiohttp
 
 from standins.platform_target import ResponseMode
-from tests.soak.deployment import INSTANCES, TARGETS, Process, SoakDeployment
+from tests.soak.deployment import HOST, INSTANCES, TARGETS, Process, SoakDeployment
 from tests.soak.proxy import LinkFault, Proxy
 
 CLIENTS = 12
@@ -134,6 +134,7 @@
             self._pause_process,
             self._inject_target_link_fault,
             self._inject_store_link_fault,
+            self._cut_all_targets,
             self._change_response_mode,
             self._remove_target,
             self._let_target_leave,
@@ -179,6 +180,21 @@
         proxy.set_fault(LinkFault.NONE)
         self.last_fault_s = time.monotonic()
 
+    async def _cut_all_targets(self) -> None:
+        """Let every instance lose its links to all targets."""
+        self.last_fault_s = time.monotonic()
+        fault = self.rng.choice((LinkFault.SILENT, LinkFault.RESET, None))
+        for proxy in self.deployment.target_proxies:
+            if fault is None:
+                proxy.refuse()
+            else:
+                proxy.set_fault(fault)
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        for proxy in self.deployment.target_proxies:
+            await proxy.start(HOST)
+            proxy.set_fault(LinkFault.NONE)
+        self.last_fault_s = time.monotonic()
+
     async def _change_response_mode(self) -> None:
         target = self.rng.choice(self.deployment.targets)
         target.response_mode = self.rng.choice(list(ResponseMode))
