Do not leave out a target whose request failed on lost links

Cause: a request that is sent again leaves out the targets where it failed. Where the links of this instance were lost, the failure says nothing of the target; an idempotent request that hung when they went was left without any target of a service with one (502 no_room), and elsewhere lost the target at which its object is warm.

Shown by: test_requests_that_hang_are_sent_again_only_if_idempotent, which failed before (502 instead of 200) and passes now, four times; an order that hangs beside it still runs once.

Ruled out: sending orders again (they may have run).

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -290,7 +290,8 @@
         if decision.step is NextStep.DELIVER and isinstance(result, UpstreamResponse):
             return result
         exchange.last_failed_target_id = result.target_id
-        exchange.excluded_targets.add(result.target_id)
+        if not (isinstance(result, SendFailure) and result.links_lost):
+            exchange.excluded_targets.add(result.target_id)
         if isinstance(result, UpstreamResponse):
             kind, detail = AttemptOutcome.ANSWERED_FAILURE.value, f"status {result.status}"
             exchange.failed_response = result
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 
 import pytest
 
@@ -142,6 +143,29 @@
     run_cut_scenario(scenario)
 
 
+def test_requests_that_hang_are_sent_again_only_if_idempotent(run_cut_scenario) -> None:
+    """They were on their way when the links went, so they may have run."""
+
+    async def scenario(cut: CutInstance) -> None:
+        await cut.start(work_s=0.3)
+        config = copy.deepcopy(CONFIG) | {"version": "r2"}
+        for rule in config["listeners"][0]["rules"]:
+            rule["action"]["timeout_ms"] = 3_000
+        cut.deployment.store.put("op/config", config)
+        await asyncio.sleep(0.5)
+        send = cut.deployment.send_request
+        read = asyncio.create_task(send("/read/x", Attempt_Id="read"))
+        order = asyncio.create_task(send("/order/x", method="POST", Attempt_Id="order"))
+        await cut.deployment.wait_until(lambda: len(cut.target.runs) == 2)
+        cut.links.cut(Cut.SILENT)
+        assert (await read).status == 200
+        assert cut.target.runs["read"] == 2
+        assert (await order).status in (502, 504)
+        assert cut.target.runs["order"] == 1
+
+    run_cut_scenario(scenario)
+
+
 def test_target_that_the_peer_knows_to_be_leaving_gets_nothing(run_cut_scenario) -> None:
     async def scenario(cut: CutInstance) -> None:
         await cut.start()
