Tell in the logs which requests are the same, and which targets crashed

Two copies of a request had nothing in common in the logs, and a crash of a target looked like a connection that was reset. Lines of a request now carry a fingerprint of method, host, path, organisation and body, and a target whose connection breaks during a request is probed once: if it refuses connections and this instance still reaches others, target_crashed names the requests that it had. Nothing is decided by it yet.

--- a/src/waxwingshelf/serving/bodies.py
+++ b/src/waxwingshelf/serving/bodies.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-__all__ = ["BodyTooLargeError", "read_body"]
+__all__ = ["BodyTooLargeError", "StreamedBody", "read_body"]
 
 _MAX_BUFFERED_BYTES = 1024 * 1024
 _CHUNK_BYTES = 64 * 1024
@@ -17,9 +17,24 @@
     """The request body exceeds the configured maximum size."""
 
 
-async def read_body(
-    request: web.BaseRequest, max_bytes: int
-) -> bytes | AsyncIterator[bytes] | None:
+class StreamedBody:
+    """A large body that can be read once; `beginning` is the part that was read before."""
+
+    __slots__ = ("_chunks", "beginning")
+
+    def __init__(self, beginning: bytes, chunks: AsyncIterator[bytes]) -> None:
+        self.beginning = beginning
+        self._chunks = chunks
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Iterate over the whole body."""
+        yield self.beginning
+        self.beginning = b""
+        async for chunk in self._chunks:
+            yield chunk
+
+
+async def read_body(request: web.BaseRequest, max_bytes: int) -> bytes | StreamedBody | None:
     """Return the body as bytes, as a stream when it exceeds 1 MiB, or None when there is none.
 
     Raise `BodyTooLargeError` when the body exceeds `max_bytes`; a stream raises it while it is
@@ -42,15 +57,10 @@
         size += len(chunk)
         if size > max_bytes:
             raise BodyTooLargeError
-    return _stream_body(chunks, request, size, max_bytes)
+    return StreamedBody(b"".join(chunks), _read_rest(request, size, max_bytes))
 
 
-async def _stream_body(
-    chunks: list[bytes], request: web.BaseRequest, size: int, max_bytes: int
-) -> AsyncIterator[bytes]:
-    for chunk in chunks:
-        yield chunk
-    chunks.clear()
+async def _read_rest(request: web.BaseRequest, size: int, max_bytes: int) -> AsyncIterator[bytes]:
     while chunk := await request.content.read(_CHUNK_BYTES):
         size += len(chunk)
         if size > max_bytes:
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -24,6 +24,7 @@
     build_session,
     open_client_socket,
 )
+from waxwingshelf.serving.crash_detector import CrashDetector
 from waxwingshelf.serving.demand_tracker import DemandTracker
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher
@@ -120,6 +121,10 @@
         )
         self._prober.on_changed = self._peer_network.announce_reach
         self._peer_network.reaches_targets = lambda: not self._prober.has_lost_links
+        self._crash_detector = CrashDetector(
+            self._prober, self._target_contact, open_target_socket, metrics
+        )
+        self._upstream.on_result = self._crash_detector.record_result
         self._relay = RelayEndpoint(
             self._upstream,
             self._prober,
@@ -314,6 +319,7 @@
 
     async def _close(self, session: aiohttp.ClientSession) -> None:
         self._rate_limiter.close()
+        self._crash_detector.close()
         await self._upstream.close()
         await self._peer_network.close()
         await session.close()
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -75,6 +75,12 @@
             registry=registry,
         )
         self.target_reach.set(1)
+        self.target_probes = Counter(
+            "waxwingshelf_target_probes",
+            "Probes of targets whose connection broke during a request, by result.",
+            ["result"],
+            registry=registry,
+        )
         self.relays = Counter(
             "waxwingshelf_relays",
             "Requests sent to targets through peers (`asked`) and for peers (`served`), by result.",
--- a/src/waxwingshelf/serving/relay.py
+++ b/src/waxwingshelf/serving/relay.py
@@ -19,6 +19,7 @@
     encode_relay_failure,
     split_relay_path,
 )
+from waxwingshelf.serving.request_fingerprints import compute_fingerprint
 from waxwingshelf.serving.send_results import FailureKind, OutgoingRequest, SendFailure
 from waxwingshelf.serving.upstream import UpstreamClient, UpstreamResponse
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
@@ -103,6 +104,7 @@
             request.headers.get(REQUEST_ID_HEADER, ""),
             deadline_ms,
         )
+        outgoing.fingerprint = compute_fingerprint(outgoing)
         return outgoing, timeout_ms + _RESPONSE_TRANSIT_MS
 
     def _may_send_to(self, state: TargetState) -> bool:
--- /dev/null
+++ b/src/waxwingshelf/serving/request_fingerprints.py
@@ -0,0 +1,34 @@
+"""Recognise a request that comes again, at any instance and with another id."""
+
+from __future__ import annotations
+
+import hashlib
+
+from waxwingshelf.platform.names import ORGANISATION_HEADER
+from waxwingshelf.serving.bodies import StreamedBody
+from waxwingshelf.serving.send_results import OutgoingRequest
+
+__all__ = ["compute_fingerprint"]
+
+_DIGEST_BYTES = 8
+
+
+def compute_fingerprint(request: OutgoingRequest) -> str:
+    """Return a hash of what a request is: method, host, path, organisation and body.
+
+    Of a streamed body, only the beginning counts.
+    """
+    headers, body = request.headers, request.body
+    parts = (
+        request.method,
+        headers.get("Host", ""),
+        request.raw_path,
+        headers.get(ORGANISATION_HEADER, ""),
+    )
+    digest = hashlib.blake2b(
+        "\0".join(parts).encode(errors="surrogateescape"), digest_size=_DIGEST_BYTES
+    )
+    digest.update(b"\0")
+    if body is not None:
+        digest.update(body.beginning if isinstance(body, StreamedBody) else body)
+    return digest.hexdigest()
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -26,6 +26,7 @@
 )
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.rate_limiter import Admission, RateLimiter
+from waxwingshelf.serving.request_fingerprints import compute_fingerprint
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.upstream import OutgoingRequest, UpstreamResponse
 from waxwingshelf.steering.attempts import Attempts
@@ -124,6 +125,7 @@
         except BodyTooLargeError:
             return Refusal(RefusalReason.BODY_TOO_LARGE, Step.READ)
         exchange.attempts.repeatable = exchange.outgoing.repeatable
+        exchange.outgoing.fingerprint = compute_fingerprint(exchange.outgoing)
         # After a stall, a request and its caller's disconnect may be read together: let the event
         # loop process the disconnect before the request is dispatched.
         await asyncio.sleep(0)
@@ -257,6 +259,7 @@
     _log.info(
         "answered",
         request=exchange.id,
+        fingerprint=exchange.outgoing.fingerprint,
         route=exchange.route.name,
         object=exchange.object_key.partition("\0")[2],
         organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import StrEnum
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from waxwingshelf.serving.bodies import StreamedBody
+
 __all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "UpstreamResponse"]
 
 
@@ -71,15 +72,17 @@
     """A request to send to a target; a streamed body can be sent only once.
 
     The target is told how much time remains until `deadline_ms`, a clock reading, at the send.
+    `fingerprint` is the same for all copies of a request; it is empty until the body is known.
     """
 
     method: str
     raw_path: str
     headers: CIMultiDict[str]
-    body: bytes | AsyncIterator[bytes] | None
+    body: bytes | StreamedBody | None
     request_id: str
     deadline_ms: int | None = None
     idempotent: bool = False
+    fingerprint: str = ""
 
     @property
     def repeatable(self) -> bool:
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -73,6 +73,7 @@
 _SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 _clock = SystemClock()
 ReportHandler = Callable[[TargetReport], None]
+ResultHandler = Callable[[Target, OutgoingRequest, UpstreamResponse | SendFailure], None]
 
 
 class _BodyResetError(Exception):
@@ -84,6 +85,12 @@
     return True
 
 
+def _ignore_result(
+    target: Target, request: OutgoingRequest, result: UpstreamResponse | SendFailure
+) -> None:
+    """Ignore the result of a send; the default of `UpstreamClient.on_result`."""
+
+
 def _ignore_report(report: TargetReport) -> None:
     """Ignore what a target says of itself; the default handler of reports."""
 
@@ -101,6 +108,7 @@
         self._buffer = ResponseBuffer()
         # The sends in progress to targets with their timeouts, in the order in which they began.
         self._sends: dict[SendProgress, asyncio.Timeout] = {}
+        self.on_result: ResultHandler = _ignore_result
 
     async def send(
         self,
@@ -138,7 +146,7 @@
         progress = _start_progress(request, may_still_send)
         timeout = self._sends[progress] = asyncio.timeout(timeout_ms / _MS_PER_S)
         try:
-            return await self._exchange(
+            result = await self._exchange(
                 self._session,
                 URL(url, encoded=True),
                 target,
@@ -150,6 +158,9 @@
         finally:
             del self._sends[progress]
             progress.may_still_send = _allow
+        if not progress.abandoned:
+            self.on_result(target, request, classify_response(target, request, result))
+        return result
 
     async def fetch_through(
         self,
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -82,6 +82,7 @@
     waited_ms: int = 0
     load: int = 0
     slots: int = 0
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -50,6 +50,11 @@
     started_ms: int
     entry_number: int = 0
 
+    @property
+    def run(self) -> str:
+        """Return a name of this run of the target."""
+        return f"{self.id}@{self.started_ms}"
+
     @property
     def entry_version(self) -> tuple[int, int]:
         """Return a value that increases with each entry that the target writes."""
