--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -53,7 +53,8 @@
     `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
     caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
     and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
-    set.
+    set. A request whose path contains `deadly_text` crashes the target, which listens again after
+    `restart_delay_s`.
     """
 
     def __init__(self, target_id: str, work_s: float = 0.0) -> None:
@@ -63,6 +64,9 @@
         self.leaving = False
         self.pause_s: float | None = None
         self.idle_timeout_s: int | None = None
+        self.deadly_text: str | None = None
+        self.restart_delay_s = 1.0
+        self.crashes = 0
         self.response_mode = ResponseMode.NORMAL
         self.runs: Counter[str] = Counter()
         self.request_heads: list[tuple[str, dict[str, str]]] = []
@@ -70,25 +74,47 @@
         self.abandoned_requests: list[str] = []
         self.connections = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._restart: asyncio.Task[None] | None = None
+        self._host = ""
         self.port = 0
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._handle_connection, host, 0)
+        self._host = host
+        self._server = await asyncio.start_server(self._handle_connection, host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Stop listening."""
+        if self._restart is not None:
+            self._restart.cancel()
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones for a while."""
+        if self._server is None or not self._server.is_serving():
+            return
+        self.crashes += 1
+        self._server.close()
+        for writer in self._writers:
+            _reset_connection(writer)
+        self._restart = asyncio.create_task(self._listen_again())
+
+    async def _listen_again(self) -> None:
+        await asyncio.sleep(self.restart_delay_s)
+        await self.start(self._host)
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while await self._handle_request(reader, writer):
                 pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _handle_request(
@@ -115,6 +141,9 @@
             writer.write(_build_response(503, request_id, b"", shed_headers))
             return True
         self.runs[request_id] += 1
+        if self.deadly_text is not None and self.deadly_text in request_line:
+            self.crash()
+            return False
         if self.work_s:
             disconnect_read = asyncio.create_task(reader.read(1))
             done, _ = await asyncio.wait([disconnect_read], timeout=self.work_s)
