Put requests that crash targets under quarantine at all instances

Cause: nothing remembers what a request did. Each copy is a new request to the instance that gets it, at all instances. The class: a request that does harm is retried and spread like one that was only unlucky.

Ruled out: a retry less (the crashes go on, more slowly; one copy of an order is one crash and they break the rule too); a memory in each instance alone (each would lose three targets, and one that starts would know nothing).

Change: an instance whose connection breaks probes the target; if it refuses connections, the requests that were there are reported to three collectors. A request that was at three crashes, was not answered since, and is not explained by another one that was at all the same crashes, is deadly. Its quarantine goes to all instances by a datagram and into the store, for ten minutes; refusals are 503, not run, with the time that remains. An answer known to any instance from after the first crash lifts it, so harmless requests do not stay.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from waxwingshelf.platform.names import EVACUATION_PREFIX, MEMBER_PREFIX, TARGET_PREFIX
+from waxwingshelf.platform.names import (
+    EVACUATION_PREFIX,
+    MEMBER_PREFIX,
+    QUARANTINE_PREFIX,
+    TARGET_PREFIX,
+)
 from waxwingshelf.steering.config import (
     CallerLimits,
     Destination,
@@ -15,18 +20,23 @@
     SteeringConfig,
 )
 from waxwingshelf.steering.fleet import PeerAddress
+from waxwingshelf.steering.quarantine import Quarantine
 from waxwingshelf.steering.targets import Target
 
 __all__ = [
     "DecodeError",
     "decode_config",
     "decode_member",
+    "decode_quarantine",
     "decode_target",
     "encode_member",
+    "encode_quarantine",
     "make_member_key",
+    "make_quarantine_key",
     "make_target_key",
     "parse_evacuated_domain",
     "parse_member_name",
+    "parse_quarantined_request",
     "parse_target_id",
 ]
 
@@ -131,6 +141,7 @@
 _CONFIG_DECODER = msgspec.json.Decoder(_Config, strict=False)
 _SERVER_DECODER = msgspec.json.Decoder(_Server)
 _MEMBER_DECODER = msgspec.json.Decoder(PeerAddress)
+_QUARANTINE_DECODER = msgspec.json.Decoder(Quarantine)
 
 
 def decode_config(value: bytes) -> SteeringConfig:
@@ -169,6 +180,16 @@
     return key[len(MEMBER_PREFIX) :] if key.startswith(MEMBER_PREFIX) else None
 
 
+def parse_quarantined_request(key: str) -> str | None:
+    """Return the fingerprint in a store key, or None if it is not a key of a quarantine."""
+    return key[len(QUARANTINE_PREFIX) :] if key.startswith(QUARANTINE_PREFIX) else None
+
+
+def make_quarantine_key(fingerprint: str) -> str:
+    """Return the store key of the quarantine of a request."""
+    return QUARANTINE_PREFIX + fingerprint
+
+
 def make_target_key(target_id: str) -> str:
     """Return the store key of a target's entry."""
     return TARGET_PREFIX + target_id
@@ -218,6 +239,19 @@
     return msgspec.json.encode(address)
 
 
+def decode_quarantine(value: bytes) -> Quarantine:
+    """Decode a quarantine; raise `DecodeError` if it is invalid."""
+    try:
+        return _QUARANTINE_DECODER.decode(value)
+    except ValueError as error:
+        raise DecodeError(str(error)) from None
+
+
+def encode_quarantine(quarantine: Quarantine) -> bytes:
+    """Encode a quarantine."""
+    return msgspec.json.encode(quarantine)
+
+
 def _parse_version(text: str) -> int:
     if not text.startswith("r") or not text[1:].isdigit():
         raise ValueError(f"version: {text!r} is not 'r' followed by a number")
--- a/src/waxwingshelf/platform/names.py
+++ b/src/waxwingshelf/platform/names.py
@@ -15,6 +15,7 @@
     "MEMBER_PREFIX",
     "NOT_RUN_HEADER",
     "ORGANISATION_HEADER",
+    "QUARANTINE_PREFIX",
     "RATE_LIMIT_HEADER",
     "READINESS_PATH",
     "REQUEST_ID_HEADER",
@@ -57,5 +58,6 @@
 EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
 MEMBER_PREFIX = "waxwingshelf/members/"
+QUARANTINE_PREFIX = "waxwingshelf/quarantine/"
 
 SETTINGS_VARIABLE = "WAXWINGSHELF_SETTINGS"
--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -22,6 +22,7 @@
 _CALL_TIMEOUT_S = 1.5
 _WATCH_MARGIN_S = 1.0
 _MS_PER_S = 1_000
+_NO_LEASE = 0
 # A page has about 1 MB; a watch may bring many changes at once.
 _MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 _T = TypeVar("_T")
@@ -195,12 +196,12 @@
         if lease.era != self.era:
             raise StoreError(StoreErrorKind.MISSING, "keep", f"created in era {lease.era}")
 
-    async def put(self, key: str, value: bytes, lease: Lease) -> Position:
-        """Write a key unconditionally, attach it to a lease, and return the position."""
+    async def put(self, key: str, value: bytes, lease: Lease | None = None) -> Position:
+        """Write a key unconditionally and return the position; with a lease, it ends with that."""
         text = base64.b64encode(value).decode()
-        transaction = _Transaction([], [_Write(key, text, lease.id)], [])
+        transaction = _Transaction([], [_Write(key, text, lease.id if lease else _NO_LEASE)], [])
         content = await self._transact("put", transaction)
-        if lease.era != self.era:
+        if lease is not None and lease.era != self.era:
             raise StoreError(StoreErrorKind.MISSING, "put", f"lease created in era {lease.era}")
         return Position(self.era, _decode(content, _Written, "put").revision)
 
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -102,8 +102,9 @@
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
-        # The targets' version and pauses when the waiting requests of a service were last judged.
-        self._judged_versions: dict[str, tuple[int, int]] = {}
+        # The versions of what decides whether the waiting requests of a service can be placed, when
+        # these were last judged.
+        self._judged_versions: dict[str, tuple[int, int, int]] = {}
 
     async def run(self) -> None:
         """Serve the queues periodically while requests wait, until cancelled.
@@ -172,7 +173,12 @@
         return result
 
     def _find_why_unplaceable(self, exchange: Exchange) -> _NoPlacement | None:
-        """Return why no target will accept the request in time, or None if one may."""
+        """Return why no target will get the request in time, or None if one may."""
+        quarantine_ms = self._get_quarantine_ms(exchange)
+        if quarantine_ms > 0:
+            return _NoPlacement(
+                RefusalReason.QUARANTINED, "the request crashes targets", quarantine_ms
+            )
         if not self._sender.may_reach(exchange.allowed_regions):
             return _NoPlacement(
                 RefusalReason.TARGETS_UNREACHABLE,
@@ -196,6 +202,17 @@
             wait_ms + choose_retry_after_ms(),
         )
 
+    def _get_quarantine_ms(self, exchange: Exchange) -> int:
+        return self._routing_state.quarantines.get_remaining_ms(
+            exchange.outgoing.fingerprint, self._clock.now_ms()
+        )
+
+    def _may_still_send(self, exchange: Exchange, attempt: Attempt) -> bool:
+        """Return whether neither the target nor a quarantine forbids a send chosen before."""
+        if attempt.state.refuses_requests(self._clock.now_ms()):
+            return False
+        return self._get_quarantine_ms(exchange) == 0
+
     def _serve_queue(self, service: str) -> None:
         queue = self._queues.get(service)
         if not queue:
@@ -217,11 +234,11 @@
     def _refuse_unplaceable(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
         """Refuse the waiting requests that no target will accept in time.
 
-        That can change only when the targets change or ask for a pause, or while this instance
-        depends on peers to reach them.
+        That can change only when the targets or quarantines change, when a target asks for a pause,
+        or while this instance depends on peers to reach them.
         """
         targets = self._routing_state.targets
-        version = (targets.version, targets.pauses)
+        version = (targets.version, targets.pauses, self._routing_state.quarantines.version)
         is_judged = self._judged_versions.get(service) == version
         if is_judged and self._sender.reaches_directly():
             return
@@ -272,7 +289,7 @@
                 response_timeout_ms,
                 exchange.allowed_regions,
                 handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
-                may_still_send=lambda: not attempt.state.refuses_requests(self._clock.now_ms()),
+                may_still_send=lambda: self._may_still_send(exchange, attempt),
             )
         finally:
             self._dispatch_state.finish_attempt(attempt)
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -81,6 +81,11 @@
             ["result"],
             registry=registry,
         )
+        self.quarantined = Gauge(
+            "waxwingshelf_quarantined_requests",
+            "Requests under quarantine because they crash targets.",
+            registry=registry,
+        )
         self.relays = Counter(
             "waxwingshelf_relays",
             "Requests sent to targets through peers (`asked`) and for peers (`served`), by result.",
--- /dev/null
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -0,0 +1,246 @@
+"""Put requests that crash targets under quarantine at all instances.
+
+Instances report crashes to a few collectors, which decide. A quarantine goes to all instances by a
+datagram and into the store, so that an instance that starts knows it too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Iterable
+
+import structlog
+
+from waxwingshelf.core.clock import Clock
+from waxwingshelf.core.rendezvous import rank
+from waxwingshelf.platform.documents import encode_quarantine, make_quarantine_key
+from waxwingshelf.platform.store import StoreClient, StoreError
+from waxwingshelf.serving.crash_messages import (
+    ANSWER_TYPE,
+    CRASH_TYPE,
+    QUARANTINE_TYPE,
+    AnswerMessage,
+    CrashMessage,
+    QuarantineMessage,
+    decode_answer,
+    decode_crash,
+    decode_quarantine_message,
+    encode_answer,
+    encode_crash,
+    encode_quarantine_message,
+)
+from waxwingshelf.serving.metrics import Metrics
+from waxwingshelf.serving.peers import PeerNetwork
+from waxwingshelf.serving.routing_state import RoutingState
+from waxwingshelf.serving.send_results import OutgoingRequest, SendFailure, UpstreamResponse
+from waxwingshelf.steering.crash_suspects import (
+    AnsweredRequests,
+    CrashSuspects,
+    DeadlyRequest,
+    TargetCrash,
+)
+from waxwingshelf.steering.fleet import Fleet
+from waxwingshelf.steering.mirror import Position
+from waxwingshelf.steering.quarantine import Quarantine
+from waxwingshelf.steering.targets import Target
+
+__all__ = ["QuarantineKeeper"]
+
+# More than one, since instances may be gone and datagrams lost.
+_COLLECTORS = 3
+_MAX_REPORTED_FINGERPRINTS = 64
+_MAX_REPORTED_SUSPECTS = 1_024
+_BUSY_INTERVAL_S = 0.1
+_IDLE_INTERVAL_S = 2.0
+_STORE_RETRY_DELAY_S = 1.0
+# The mirror of an instance shows its own write by then, unless the store was restored.
+_MIRROR_DELAY_MS = 2_500
+_log = structlog.get_logger("quarantine")
+
+
+class QuarantineKeeper:
+    """Report crashes, collect reports, and begin and lift quarantines."""
+
+    def __init__(
+        self,
+        name: str,
+        routing_state: RoutingState,
+        fleet: Fleet,
+        peer_network: PeerNetwork,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._routing_state = routing_state
+        self._quarantines = routing_state.quarantines
+        self._fleet = fleet
+        self._peer_network = peer_network
+        self._clock = clock
+        self._metrics = metrics
+        self._suspects = CrashSuspects()
+        self._answered = AnsweredRequests()
+        # What this instance has reported at crashes, and the quarantines that it has lifted.
+        self._reported: dict[str, None] = {}
+        self._lifted: set[str] = set()
+        # What was written to the store lately, as far as the mirror may not show it yet.
+        self._written: dict[str, tuple[Quarantine, int]] = {}
+        self._has_work = asyncio.Event()
+        peer_network.add_handler(CRASH_TYPE, self._handle_crash)
+        peer_network.add_handler(ANSWER_TYPE, self._handle_answer)
+        peer_network.add_handler(QUARANTINE_TYPE, self._handle_quarantine)
+
+    async def run(self, store: StoreClient) -> None:
+        """Decide about the reported crashes and keep the store up to date, until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_IDLE_INTERVAL_S):
+                    await self._has_work.wait()
+            self._has_work.clear()
+            await asyncio.sleep(_BUSY_INTERVAL_S)
+            now_ms = self._clock.now_ms()
+            for deadly in self._suspects.take_deadly(now_ms):
+                self._begin(deadly, now_ms)
+            if self._suspects.is_unsettled(now_ms):
+                self._has_work.set()
+            self._lift_answered(now_ms)
+            in_force = self._quarantines.list_in_force(now_ms)
+            self._metrics.quarantined.set(len(in_force))
+            try:
+                await self._update_store(store, now_ms)
+            except StoreError as failure:
+                self._metrics.store_calls.labels(failure.step, failure.kind.value).inc()
+                _log.info("quarantine_not_stored", detail=str(failure))
+                await asyncio.sleep(_STORE_RETRY_DELAY_S)
+                self._has_work.set()
+
+    def record_result(
+        self, target: Target, request: OutgoingRequest, result: UpstreamResponse | SendFailure
+    ) -> None:
+        """Take note of an answer: it clears a request of suspicion."""
+        if isinstance(result, SendFailure):
+            return
+        fingerprint, now_ms = request.fingerprint, self._clock.now_ms()
+        self._answered.record(fingerprint, now_ms)
+        if fingerprint in self._reported:
+            del self._reported[fingerprint]
+            self._suspects.record_answer(fingerprint)
+            self._send(self._list_collectors(), encode_answer(AnswerMessage(fingerprint)))
+        if self._quarantines.get_remaining_ms(fingerprint, now_ms) > 0:
+            self._has_work.set()
+
+    def report_crash(self, crash: TargetCrash) -> None:
+        """Report a crash that this instance has seen to the collectors."""
+        collectors = self._list_collectors()
+        if self._name in collectors:
+            self._record_crash(crash)
+        fingerprints = sorted(crash.fingerprints)
+        for fingerprint in fingerprints:
+            self._reported[fingerprint] = None
+        while len(self._reported) > _MAX_REPORTED_SUSPECTS:
+            del self._reported[next(iter(self._reported))]
+        for start in range(0, len(fingerprints), _MAX_REPORTED_FINGERPRINTS):
+            part = fingerprints[start : start + _MAX_REPORTED_FINGERPRINTS]
+            self._send(collectors, encode_crash(CrashMessage(crash.target_run, part)))
+
+    def _handle_crash(self, data: memoryview) -> None:
+        message = decode_crash(data)
+        self._record_crash(TargetCrash(message.target_run, frozenset(message.fingerprints)))
+
+    def _record_crash(self, crash: TargetCrash) -> None:
+        now_ms = self._clock.now_ms()
+        known = [
+            fingerprint
+            for fingerprint in crash.fingerprints
+            if self._quarantines.get_remaining_ms(fingerprint, now_ms) > 0
+        ]
+        if known:
+            # The request was on its way when its quarantine began; it explains this crash too.
+            self._suspects.explain(frozenset((crash.target_run,)), known[0])
+            return
+        self._suspects.record_crash(crash, now_ms)
+        self._has_work.set()
+
+    def _handle_answer(self, data: memoryview) -> None:
+        self._suspects.record_answer(decode_answer(data).fingerprint)
+
+    def _handle_quarantine(self, data: memoryview) -> None:
+        message = decode_quarantine_message(data)
+        self._record_quarantine(message.fingerprint, message.quarantine, "peer")
+
+    def _record_quarantine(self, fingerprint: str, quarantine: Quarantine, source: str) -> None:
+        self._routing_state.record_quarantine(fingerprint, quarantine, source)
+        self._has_work.set()
+
+    def _begin(self, deadly: DeadlyRequest, now_ms: int) -> None:
+        known = self._quarantines.find(deadly.fingerprint)
+        began_ms = self._clock.wall_ms()
+        if known is not None:
+            # The time of day may have jumped back since.
+            began_ms = max(began_ms, known.began_ms + 1)
+        quarantine = Quarantine(began_ms, False, now_ms - deadly.first_crash_ms)
+        _log.warning(
+            "request_deadly",
+            fingerprint=deadly.fingerprint,
+            crashes=len(deadly.target_runs),
+            targets=sorted(deadly.target_runs),
+            suspected_ms=quarantine.suspected_ms,
+        )
+        self._record_quarantine(deadly.fingerprint, quarantine, "crashes")
+        self._announce(deadly.fingerprint, quarantine)
+
+    def _lift_answered(self, now_ms: int) -> None:
+        for fingerprint, since_ms in self._quarantines.list_in_force(now_ms).items():
+            if not self._answered.was_answered_since(fingerprint, since_ms):
+                continue
+            quarantine = self._quarantines.find(fingerprint)
+            if quarantine is None:
+                continue
+            lifted = Quarantine(quarantine.began_ms, True, quarantine.suspected_ms)
+            self._lifted.add(fingerprint)
+            self._record_quarantine(fingerprint, lifted, "answer")
+            self._announce(fingerprint, lifted)
+
+    def _announce(self, fingerprint: str, quarantine: Quarantine) -> None:
+        data = encode_quarantine_message(QuarantineMessage(fingerprint, quarantine))
+        self._send((peer.address.name for peer in self._fleet.list_peers()), data)
+
+    async def _update_store(self, store: StoreClient, now_ms: int) -> None:
+        """Write the quarantines that the store lacks, and remove those that have ended."""
+        is_collector = self._name in self._list_collectors()
+        for fingerprint, quarantine in self._quarantines.list_all().items():
+            if not is_collector and fingerprint not in self._lifted:
+                if self._quarantines.is_over(fingerprint, now_ms):
+                    self._quarantines.forget(fingerprint)
+                continue
+            key = make_quarantine_key(fingerprint)
+            stored = self._routing_state.mirror.get(key)
+            if self._quarantines.is_over(fingerprint, now_ms):
+                if stored is not None:
+                    era = self._routing_state.mirror.position.era
+                    await store.delete(key, Position(era, stored.revision))
+                self._quarantines.forget(fingerprint)
+                self._lifted.discard(fingerprint)
+                self._written.pop(fingerprint, None)
+            elif stored is None or stored.value != encode_quarantine(quarantine):
+                await self._write(store, fingerprint, quarantine, now_ms)
+
+    async def _write(
+        self, store: StoreClient, fingerprint: str, quarantine: Quarantine, now_ms: int
+    ) -> None:
+        written, written_ms = self._written.get(fingerprint, (None, 0))
+        if written == quarantine and now_ms - written_ms < _MIRROR_DELAY_MS:
+            return
+        await store.put(make_quarantine_key(fingerprint), encode_quarantine(quarantine))
+        self._written[fingerprint] = (quarantine, now_ms)
+        self._metrics.store_calls.labels("quarantine", "ok").inc()
+
+    def _list_collectors(self) -> list[str]:
+        names = [self._name, *self._fleet.list_instance_names()]
+        return rank("crash collector", set(names))[:_COLLECTORS]
+
+    def _send(self, names: Iterable[str], data: bytes) -> None:
+        for name in names:
+            address = self._fleet.find_address(name)
+            if address is not None:
+                self._peer_network.send_to(address, data)
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -15,15 +15,18 @@
     DecodeError,
     decode_config,
     decode_member,
+    decode_quarantine,
     make_target_key,
     parse_evacuated_domain,
     parse_member_name,
+    parse_quarantined_request,
 )
 from waxwingshelf.platform.names import CONFIG_KEY
 from waxwingshelf.serving.target_entries import TargetEntries
 from waxwingshelf.steering.config import SteeringConfig
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.mirror import Change, Mirror, Position
+from waxwingshelf.steering.quarantine import Quarantine, QuarantineList
 
 __all__ = ["RoutingState"]
 
@@ -46,6 +49,7 @@
         self._target_entries = TargetEntries(clock)
         self.mirror = Mirror()
         self.targets = self._target_entries.registry
+        self.quarantines = QuarantineList()
         self.config: SteeringConfig | None = None
         self.config_loaded = asyncio.Event()
         self._config_value: bytes | None = None
@@ -101,11 +105,28 @@
         if expired:
             self._update_evacuations()
 
+    def record_quarantine(self, fingerprint: str, quarantine: Quarantine, source: str) -> None:
+        """Take over a quarantine from the store or an instance, unless a later one is known."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        was_in_force = self.quarantines.get_remaining_ms(fingerprint, now_ms) > 0
+        self.quarantines.record(fingerprint, quarantine, now_ms, wall_ms)
+        remaining_ms = self.quarantines.get_remaining_ms(fingerprint, now_ms)
+        if (remaining_ms > 0) == was_in_force:
+            # Known, or another instance has come to the same conclusion.
+            return
+        _log.warning(
+            "quarantine_lifted" if quarantine.lifted else "request_quarantined",
+            fingerprint=fingerprint,
+            began_ms=quarantine.began_ms,
+            remaining_ms=remaining_ms,
+            source=source,
+        )
+
     def _apply_changes(self, changes: list[Change], source: str) -> None:
         self._target_entries.apply(changes)
         now_ms = self._clock.now_ms()
         for change in changes:
-            self._apply_config_or_member(change, source, now_ms)
+            self._apply_system_entry(change, source, now_ms)
             domain = parse_evacuated_domain(change.key)
             if domain is not None:
                 self._held_evacuations_until_ms.pop(domain, None)
@@ -126,12 +147,12 @@
         self._target_entries.apply_restored(changes)
         now_ms = self._clock.now_ms()
         for change in changes:
-            self._apply_config_or_member(change, source, now_ms + _MEMBER_HOLD_MS)
+            self._apply_system_entry(change, source, now_ms + _MEMBER_HOLD_MS)
         for domain in self._evacuated - self._list_evacuated():
             self._held_evacuations_until_ms[domain] = now_ms + _EVACUATION_HOLD_MS
         self._update_evacuations()
 
-    def _apply_config_or_member(self, change: Change, source: str, unregistered_ms: int) -> None:
+    def _apply_system_entry(self, change: Change, source: str, unregistered_ms: int) -> None:
         if change.key == CONFIG_KEY:
             if change.value is not None:
                 self._apply_config(change.value, change.revision, source)
@@ -139,6 +160,9 @@
         name = parse_member_name(change.key)
         if name is not None:
             self._apply_member(name, change.value, unregistered_ms)
+        fingerprint = parse_quarantined_request(change.key)
+        if fingerprint is not None and change.value is not None:
+            self._apply_quarantine(fingerprint, change.value, source)
 
     def _apply_config(self, value: bytes, revision: int, source: str) -> None:
         try:
@@ -170,6 +194,15 @@
         except DecodeError as error:
             _log.warning("member_rejected", member=name, detail=str(error))
 
+    def _apply_quarantine(self, fingerprint: str, value: bytes, source: str) -> None:
+        # A removed entry ends nothing: an older copy of the store may lack it.
+        try:
+            quarantine = decode_quarantine(value)
+        except DecodeError as error:
+            _log.warning("quarantine_rejected", fingerprint=fingerprint, detail=str(error))
+            return
+        self.record_quarantine(fingerprint, quarantine, source)
+
     def _list_evacuated(self) -> frozenset[str]:
         """Return the failure domains that the store's keys name as evacuated."""
         return frozenset(
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -85,12 +85,6 @@
     return True
 
 
-def _ignore_result(
-    target: Target, request: OutgoingRequest, result: UpstreamResponse | SendFailure
-) -> None:
-    """Ignore the result of a send; the default of `UpstreamClient.on_result`."""
-
-
 def _ignore_report(report: TargetReport) -> None:
     """Ignore what a target says of itself; the default handler of reports."""
 
@@ -108,7 +102,7 @@
         self._buffer = ResponseBuffer()
         # The sends in progress to targets with their timeouts, in the order in which they began.
         self._sends: dict[SendProgress, asyncio.Timeout] = {}
-        self.on_result: ResultHandler = _ignore_result
+        self.result_handlers: list[ResultHandler] = []
 
     async def send(
         self,
@@ -159,7 +153,9 @@
             del self._sends[progress]
             progress.may_still_send = _allow
         if not progress.abandoned:
-            self.on_result(target, request, classify_response(target, request, result))
+            classified = classify_response(target, request, result)
+            for handle_result in self.result_handlers:
+                handle_result(target, request, classified)
         return result
 
     async def fetch_through(
--- /dev/null
+++ b/src/waxwingshelf/steering/quarantine.py
@@ -0,0 +1,99 @@
+"""Requests that are not sent to targets because they crash them.
+
+A quarantine ends after a time, since the targets may have been mended, or as soon as an instance
+knows that a target has answered the request: then it was harmless.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["QUARANTINE_MS", "Quarantine", "QuarantineList"]
+
+QUARANTINE_MS = 600_000
+_MAX_QUARANTINES = 1_024
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Quarantine:
+    """A quarantine as instances tell it to each other; of two, the greater one holds.
+
+    `began_ms` is in milliseconds since the Unix epoch. `suspected_ms` is the time from the first
+    crash that the request caused until then.
+    """
+
+    began_ms: int
+    lifted: bool
+    suspected_ms: int
+
+
+@dataclass(slots=True)
+class _Entry:
+    quarantine: Quarantine
+    until_ms: int
+    suspected_since_ms: int
+
+
+class QuarantineList:
+    """The known quarantines by fingerprint; times are clock readings unless said otherwise.
+
+    `version` rises with each change.
+    """
+
+    __slots__ = ("_entries", "version")
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self.version = 0
+
+    def record(self, fingerprint: str, quarantine: Quarantine, now_ms: int, wall_ms: int) -> bool:
+        """Take over a quarantine; return False if it was known or a later one is."""
+        known = self._entries.get(fingerprint)
+        if known is not None and quarantine <= known.quarantine:
+            return False
+        if known is None and len(self._entries) >= _MAX_QUARANTINES:
+            del self._entries[min(self._entries, key=self._get_until_ms)]
+        age_ms = min(max(0, wall_ms - quarantine.began_ms), QUARANTINE_MS)
+        suspected_since_ms = now_ms - quarantine.suspected_ms
+        if known is not None and known.quarantine.began_ms == quarantine.began_ms:
+            suspected_since_ms = known.suspected_since_ms
+        self._entries[fingerprint] = _Entry(
+            quarantine, now_ms + QUARANTINE_MS - age_ms, suspected_since_ms
+        )
+        self.version += 1
+        return True
+
+    def find(self, fingerprint: str) -> Quarantine | None:
+        """Return the last known quarantine of a request, also if it has ended."""
+        entry = self._entries.get(fingerprint)
+        return entry.quarantine if entry is not None else None
+
+    def get_remaining_ms(self, fingerprint: str, now_ms: int) -> int:
+        """Return for how long a request must not be sent; 0 if it may be."""
+        entry = self._entries.get(fingerprint)
+        if entry is None or entry.quarantine.lifted:
+            return 0
+        return max(0, entry.until_ms - now_ms)
+
+    def list_in_force(self, now_ms: int) -> dict[str, int]:
+        """Return since when each quarantined request has been suspected."""
+        return {
+            fingerprint: entry.suspected_since_ms
+            for fingerprint, entry in self._entries.items()
+            if not entry.quarantine.lifted and now_ms < entry.until_ms
+        }
+
+    def list_all(self) -> dict[str, Quarantine]:
+        """Return all quarantines that are remembered, also those that have ended."""
+        return {name: entry.quarantine for name, entry in self._entries.items()}
+
+    def is_over(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether the time of a quarantine has passed."""
+        return now_ms >= self._entries[fingerprint].until_ms
+
+    def forget(self, fingerprint: str) -> None:
+        """Forget a quarantine whose time has passed."""
+        del self._entries[fingerprint]
+
+    def _get_until_ms(self, fingerprint: str) -> int:
+        return self._entries[fingerprint].until_ms
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -35,6 +35,7 @@
     NO_TARGET = "no_target"
     TARGETS_PAUSED = "targets_paused"
     TARGETS_UNREACHABLE = "targets_unreachable"
+    QUARANTINED = "quarantined"
     NO_ROOM = "no_room"
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS_USED = "attempts_used"
@@ -54,6 +55,7 @@
     RefusalReason.NO_TARGET: 503,
     RefusalReason.TARGETS_PAUSED: 503,
     RefusalReason.TARGETS_UNREACHABLE: 503,
+    RefusalReason.QUARANTINED: 503,
     RefusalReason.NO_ROOM: 503,
     RefusalReason.RETRY_BUDGET: 503,
     RefusalReason.ATTEMPTS_USED: 503,
--- a/tests/serving/test_deadly_requests.py
+++ b/tests/serving/test_deadly_requests.py
@@ -106,7 +106,6 @@
     assert set(traffic.harmless) == {200}
 
 
-@pytest.mark.xfail(strict=True, reason="issue 37, KNOWN-RED.txt 7")
 @pytest.mark.parametrize(
     ("size", "route", "body"),
     [(1, "read", None), (4, "read", None), (4, "order", b"x" * 5_000), (18, "read", None)],
--- /dev/null
+++ b/tests/serving/test_quarantine.py
@@ -0,0 +1,186 @@
+"""Quarantines outlast instances and the store's troubles, and harmless requests leave them."""
+
+import asyncio
+import base64
+import json
+
+from multidict import CIMultiDict
+
+from standins.platform_store import StoreFault
+from standins.platform_target import ResponseMode
+from tests.serving.test_deadly_requests import DEADLY_TEXT, count_crashes, start_fleet
+from waxwingshelf.serving.request_fingerprints import compute_fingerprint
+from waxwingshelf.serving.send_results import OutgoingRequest
+
+PREFIX = "waxwingshelf/quarantine/"
+DEADLY_PATH = f"/read/{DEADLY_TEXT}"
+WAIT_S = 6.0
+
+
+def list_stored(deployment) -> dict[str, dict]:
+    """Return the quarantines in the store by fingerprint."""
+    return {
+        key.removeprefix(PREFIX): json.loads(base64.b64decode(item.value))
+        for key, item in deployment.store.items.items()
+        if key.startswith(PREFIX)
+    }
+
+
+async def send_until_quarantined(deployment, names) -> None:
+    async with asyncio.timeout(WAIT_S):
+        for number in range(1_000):
+            name = names[number % len(names)]
+            response = await deployment.send_request(DEADLY_PATH, name)
+            if response.body == b"quarantined\n":
+                return
+            await asyncio.sleep(0.05)
+
+
+async def assert_quarantined(deployment, names) -> None:
+    before = count_crashes(deployment)
+    for name in names:
+        response = await deployment.send_request(DEADLY_PATH, name)
+        assert (response.status, response.body) == (503, b"quarantined\n")
+        assert float(response.headers["Retry-After"]) > 60
+    assert count_crashes(deployment) == before
+
+
+def compute_read_fingerprint(path: str) -> str:
+    headers = CIMultiDict({"Host": "a.example", "Tenant": "acme"})
+    return compute_fingerprint(OutgoingRequest("GET", path, headers, None, "any"))
+
+
+def test_instance_that_starts_knows_the_quarantines(run_scenario) -> None:
+    """All instances may be killed at once; a new one would lose three targets again."""
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        await send_until_quarantined(deployment, names)
+        await deployment.wait_until(lambda: list_stored(deployment))
+        for task in deployment.tasks[-len(names) :]:
+            task.cancel()
+        await asyncio.gather(*deployment.tasks[-len(names) :], return_exceptions=True)
+        await deployment.start_instance("new")
+        await deployment.wait_until_ready("new")
+        await assert_quarantined(deployment, ["new"])
+
+    run_scenario(scenario)
+
+
+def test_all_instances_know_a_quarantine_while_the_store_is_away(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 4)
+        deployment.store.fault = StoreFault.REFUSE
+        await send_until_quarantined(deployment, names)
+        await asyncio.sleep(0.3)
+        await assert_quarantined(deployment, names)
+        assert not list_stored(deployment)
+        deployment.store.fault = StoreFault.NONE
+        await deployment.wait_until(lambda: list_stored(deployment))
+
+    run_scenario(scenario)
+
+
+def test_quarantine_is_stored_again_after_the_store_came_back_from_a_copy(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        snapshot = deployment.store.take_snapshot()
+        await send_until_quarantined(deployment, names)
+        await deployment.wait_until(lambda: list_stored(deployment))
+        deployment.store.restore(snapshot)
+        assert not list_stored(deployment)
+        await deployment.wait_until(lambda: list_stored(deployment))
+        await assert_quarantined(deployment, names)
+
+    run_scenario(scenario)
+
+
+def test_quarantine_of_a_request_that_was_answered_is_lifted(run_scenario) -> None:
+    """An instance that has not seen the crashes may know that the request is harmless."""
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 4)
+        assert (await deployment.send_request("/read/fine", "n1")).status == 200
+        fingerprint = compute_read_fingerprint("/read/fine")
+        entry = {"began_ms": 2_000_000_000_000, "lifted": False, "suspected_ms": 5_000}
+        deployment.store.put(PREFIX + fingerprint, entry)
+        await deployment.wait_until(lambda: list_stored(deployment)[fingerprint]["lifted"])
+        for name in names:
+            assert (await deployment.send_request("/read/fine", name)).status == 200
+
+    run_scenario(scenario)
+
+
+def test_request_answered_before_the_crashes_stays_quarantined(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        assert (await deployment.send_request("/read/fine", "n1")).status == 200
+        fingerprint = compute_read_fingerprint("/read/fine")
+        entry = {"began_ms": 2_000_000_000_000, "lifted": False, "suspected_ms": 0}
+        deployment.store.put(PREFIX + fingerprint, entry)
+        await asyncio.sleep(1.0)
+        assert not list_stored(deployment)[fingerprint]["lifted"]
+        for name in names:
+            assert (await deployment.send_request("/read/fine", name)).status == 503
+
+    run_scenario(scenario)
+
+
+def test_malformed_quarantine_is_ignored(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 1)
+        fingerprint = compute_read_fingerprint("/read/fine")
+        deployment.store.put(PREFIX + fingerprint, {"began_ms": "soon"})
+        await asyncio.sleep(0.6)
+        assert (await deployment.send_request("/read/fine", names[0])).status == 200
+
+    run_scenario(scenario)
+
+
+def test_connections_reset_by_targets_that_live_on_are_no_crashes(run_scenario) -> None:
+    """A target that resets some of its connections answers others, and no request is to blame."""
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        for target in deployment.targets.values():
+            target.response_mode = ResponseMode.RESET
+        for _ in range(6):
+            for name in names:
+                await deployment.send_request("/read/fine", name)
+        for target in deployment.targets.values():
+            target.response_mode = ResponseMode.NORMAL
+        await asyncio.sleep(1.2)
+        assert not list_stored(deployment)
+        for name in names:
+            assert (await deployment.send_request("/read/fine", name)).status == 200
+
+    run_scenario(scenario)
+
+
+def test_targets_that_crash_by_themselves_leave_repeated_requests_in_use(run_scenario) -> None:
+    """One request that is often sent is at many crashes, and is answered in between."""
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 3)
+
+        async def send_often() -> list[int]:
+            statuses = []
+            for number in range(90):
+                name = names[number % len(names)]
+                response = await deployment.send_request("/read/often", name)
+                statuses.append(response.status)
+                await asyncio.sleep(0.02)
+            return statuses
+
+        senders = [asyncio.create_task(send_often()) for _ in range(3)]
+        for target in deployment.targets.values():
+            await asyncio.sleep(0.3)
+            target.crash()
+        await asyncio.gather(*senders)
+        await asyncio.sleep(1.2)
+        in_force = [entry for entry in list_stored(deployment).values() if not entry["lifted"]]
+        assert not in_force
+        for name in names:
+            assert (await deployment.send_request("/read/often", name)).status == 200
+
+    run_scenario(scenario)
--- /dev/null
+++ b/tests/steering/test_quarantine.py
@@ -0,0 +1,63 @@
+"""Quarantines are taken over from any source, in any order, and end by time or by an answer."""
+
+import itertools
+
+from waxwingshelf.steering.quarantine import QUARANTINE_MS, Quarantine, QuarantineList
+
+WALL_MS = 1_800_000_000_000
+BEGUN = Quarantine(WALL_MS, False, 500)
+LIFTED = Quarantine(WALL_MS, True, 500)
+AGAIN = Quarantine(WALL_MS + 1_000, False, 300)
+
+
+def test_quarantine_ends_after_its_time() -> None:
+    quarantines = QuarantineList()
+    assert quarantines.record("f", BEGUN, now_ms=0, wall_ms=WALL_MS)
+    assert quarantines.get_remaining_ms("f", 0) == QUARANTINE_MS
+    assert quarantines.get_remaining_ms("other", 0) == 0
+    assert quarantines.get_remaining_ms("f", QUARANTINE_MS) == 0
+    assert quarantines.is_over("f", QUARANTINE_MS)
+
+
+def test_instance_that_starts_later_takes_over_the_rest() -> None:
+    quarantines = QuarantineList()
+    quarantines.record("f", BEGUN, now_ms=7, wall_ms=WALL_MS + 60_000)
+    assert quarantines.get_remaining_ms("f", 7) == QUARANTINE_MS - 60_000
+
+
+def test_time_of_day_that_jumps_back_does_not_prolong_it() -> None:
+    quarantines = QuarantineList()
+    quarantines.record("f", BEGUN, now_ms=0, wall_ms=WALL_MS - 3_600_000)
+    assert quarantines.get_remaining_ms("f", 0) == QUARANTINE_MS
+
+
+def test_order_of_messages_does_not_matter() -> None:
+    for messages in itertools.permutations((BEGUN, LIFTED, AGAIN)):
+        quarantines = QuarantineList()
+        for message in messages:
+            quarantines.record("f", message, 0, WALL_MS)
+        assert quarantines.find("f") == AGAIN
+        assert quarantines.get_remaining_ms("f", 0) > 0
+    for messages in itertools.permutations((BEGUN, LIFTED)):
+        quarantines = QuarantineList()
+        for message in messages:
+            quarantines.record("f", message, 0, WALL_MS)
+        assert quarantines.get_remaining_ms("f", 0) == 0
+        assert quarantines.list_in_force(0) == {}
+
+
+def test_known_quarantine_changes_nothing() -> None:
+    quarantines = QuarantineList()
+    quarantines.record("f", BEGUN, 0, WALL_MS)
+    version = quarantines.version
+    assert not quarantines.record("f", BEGUN, 5_000, WALL_MS)
+    assert quarantines.version == version
+    assert quarantines.list_in_force(5_000) == {"f": -500}
+
+
+def test_number_of_quarantines_is_bounded() -> None:
+    quarantines = QuarantineList()
+    for number in range(2_000):
+        quarantines.record(str(number), Quarantine(WALL_MS + number, False, 0), number, WALL_MS)
+    assert len(quarantines.list_all()) < 1_100
+    assert quarantines.get_remaining_ms("1999", 2_000) > 0
