Let only instances that decide about crashes collect reports of them

Cause: the three collectors were chosen among all instances. In a rolling upgrade all three may run an earlier build, which ignores the reports, so that a request that crashes targets goes on.

Shown by: test_instances_of_an_earlier_build_are_no_collectors, which failed before (no quarantine in 6 s) and passes now.

Change: an instance tells with its addresses that its build collects; earlier builds ignore the field and never have it. Also: a probe for which no socket can be opened is logged and tells nothing, and a quarantine that is forgotten while its end is being written no longer ends the task.

--- a/src/waxwingshelf/serving/crash_detector.py
+++ b/src/waxwingshelf/serving/crash_detector.py
@@ -90,7 +90,12 @@
 
     async def _has_crashed(self, target: Target) -> bool:
         deadline_s = asyncio.get_running_loop().time() + _PROBE_TIMEOUT_S
-        outcome = await probe_target(target, self._open_socket, deadline_s)
+        try:
+            outcome = await probe_target(target, self._open_socket, deadline_s)
+        except OSError as error:
+            # No socket could be opened, for example for want of descriptors.
+            _log.warning("probe_failed", target=target.id, detail=str(error))
+            return False
         if outcome is not ProbeOutcome.REFUSED:
             return False
         # This instance's own links may be lost, so that every target seems to refuse.
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -151,6 +151,7 @@
             caller_address=str(settings.callers),
             rate_port=settings.peer_ports[1],
             link_mbps=settings.link_mbps,
+            collects_crashes=True,
         )
 
     async def open(self) -> None:
--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -236,8 +236,9 @@
         self._metrics.store_calls.labels("quarantine", "ok").inc()
 
     def _list_collectors(self) -> list[str]:
-        names = [self._name, *self._fleet.list_instance_names()]
-        return rank("crash collector", set(names))[:_COLLECTORS]
+        peers = [peer.address for peer in self._fleet.list_peers()]
+        names = [address.name for address in peers if address.collects_crashes]
+        return rank("crash collector", [self._name, *names])[:_COLLECTORS]
 
     def _send(self, names: Iterable[str], data: bytes) -> None:
         for name in names:
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -45,7 +45,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
-    """The name, location and addresses of an instance, for its peers and for callers."""
+    """The name, location and addresses of an instance, for its peers and for callers.
+
+    `collects_crashes` is set if the instance's build decides about requests that crash targets.
+    """
 
     name: str
     region: str
@@ -56,6 +59,7 @@
     caller_address: str
     rate_port: int = 0
     link_mbps: float = 0.0
+    collects_crashes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingshelf/steering/quarantine.py
+++ b/src/waxwingshelf/steering/quarantine.py
@@ -88,12 +88,13 @@
         return {name: entry.quarantine for name, entry in self._entries.items()}
 
     def is_over(self, fingerprint: str, now_ms: int) -> bool:
-        """Return whether the time of a quarantine has passed."""
-        return now_ms >= self._entries[fingerprint].until_ms
+        """Return whether the time of a quarantine has passed, or none is known."""
+        entry = self._entries.get(fingerprint)
+        return entry is None or now_ms >= entry.until_ms
 
     def forget(self, fingerprint: str) -> None:
         """Forget a quarantine whose time has passed."""
-        del self._entries[fingerprint]
+        self._entries.pop(fingerprint, None)
 
     def _get_until_ms(self, fingerprint: str) -> int:
         return self._entries[fingerprint].until_ms
--- a/tests/serving/test_quarantine.py
+++ b/tests/serving/test_quarantine.py
@@ -9,6 +9,7 @@
 from standins.platform_store import StoreFault
 from standins.platform_target import ResponseMode
 from tests.serving.test_deadly_requests import DEADLY_TEXT, count_crashes, start_fleet
+from waxwingshelf.core.rendezvous import rank
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
 from waxwingshelf.serving.send_results import OutgoingRequest
 
@@ -184,3 +185,29 @@
             assert (await deployment.send_request("/read/often", name)).status == 200
 
     run_scenario(scenario)
+
+
+def test_instances_of_an_earlier_build_are_no_collectors(run_scenario) -> None:
+    """They ignore reports: while most instances were of an earlier build, nobody decided."""
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        candidates = [f"old{number}" for number in range(50)]
+        for name in rank("crash collector", [*names, *candidates])[:3]:
+            assert name not in names
+            entry = {
+                "name": name,
+                "region": "north",
+                "failure_domain": "north-1",
+                "host": "127.0.0.1",
+                "beat_port": 9,
+                "state_port": 9,
+                "caller_address": "127.0.0.1:9",
+            }
+            deployment.store.put(f"waxwingshelf/members/{name}", entry)
+        await asyncio.sleep(0.6)
+        await send_until_quarantined(deployment, names)
+        await asyncio.sleep(0.3)
+        await assert_quarantined(deployment, names)
+
+    run_scenario(scenario)
