Judge each response by its own head

Cause: the library computes a response's headers once and keeps them, so that each later head on the connection was judged by the id of the first one. The right response was skipped like the foreign one.

Change: headers are always those of the head that was read last; id, signature, load, limit, pause and idle time all come from there.

Ruled out: a new response object for each head (the library ties one to the request and its writer).

--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -8,14 +8,16 @@
 from dataclasses import dataclass
 
 import aiohttp
+from multidict import CIMultiDictProxy
 
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
 from waxwingshelf.platform.target_responses import decode_idle_timeout
-from waxwingshelf.serving.response_buffer import BoundedResponseHandler, ResponseLimitError
+from waxwingshelf.serving.response_buffer import BoundedResponseHandler
 
 __all__ = [
     "CheckedRequest",
+    "ForeignResponsesError",
     "IdleConnectionError",
     "MatchedResponse",
     "SendProgress",
@@ -34,6 +36,10 @@
     """The target may be about to close the connection that the pool chose."""
 
 
+class ForeignResponsesError(aiohttp.ClientError):
+    """The target sent too many responses to other requests instead of the awaited one."""
+
+
 class SendWithdrawnError(aiohttp.ClientError):
     """The target stopped accepting requests, or the deadline passed, before the send."""
 
@@ -100,6 +106,12 @@
     _eof_while_starting = False
     _connection_closed: asyncio.Future[None] | None = None
 
+    @property
+    def headers(self) -> CIMultiDictProxy[str]:
+        """Return the headers of the last head that was read; the library keeps the first ones."""
+        assert self._headers is not None
+        return self._headers
+
     async def start(self, connection: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Read response heads until one belongs to the request."""
         expected_id = self.request_info.headers.get(REQUEST_ID_HEADER)
@@ -128,7 +140,7 @@
                 return
             while await self.content.readany():
                 pass
-        raise ResponseLimitError(f"{_MAX_SKIPPED_RESPONSES} responses to other requests")
+        raise ForeignResponsesError(f"{_MAX_SKIPPED_RESPONSES} responses to other requests")
 
     def reset(self) -> None:
         """Reset the connection of a response that was not read completely."""
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -22,6 +22,7 @@
 from waxwingshelf.platform.target_responses import MISDIRECTED_REQUEST, decode_target_report
 from waxwingshelf.serving.client_exchange import (
     CheckedRequest,
+    ForeignResponsesError,
     IdleConnectionError,
     MatchedResponse,
     SendProgress,
@@ -225,6 +226,8 @@
             return SendFailure(
                 FailureKind.BROKEN, target.id, "connection reset while reading the body"
             )
+        except ForeignResponsesError as error:
+            return SendFailure(FailureKind.CROSSED, target.id, str(error))
         except ResponseLimitError as error:
             return SendFailure(FailureKind.TOO_LARGE, target.id, str(error))
         except SendWithdrawnError:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -54,7 +54,9 @@
     caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
     and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
     set. A request whose path contains `deadly_text` crashes the target, which listens again after
-    `restart_delay_s`.
+    `restart_delay_s`. Before each response, the target sends `foreign_responses`, which belong to
+    other requests, and a second copy of the response before if `repeats_late` is set; after them it
+    pauses for `foreign_pause_s`.
     """
 
     def __init__(self, target_id: str, work_s: float = 0.0) -> None:
@@ -66,6 +68,9 @@
         self.idle_timeout_s: int | None = None
         self.deadly_text: str | None = None
         self.restart_delay_s = 1.0
+        self.foreign_responses: list[bytes] = []
+        self.foreign_pause_s = 0.0
+        self.repeats_late = False
         self.crashes = 0
         self.response_mode = ResponseMode.NORMAL
         self.runs: Counter[str] = Counter()
@@ -74,6 +79,7 @@
         self.abandoned_requests: list[str] = []
         self.connections = 0
         self._server: asyncio.Server | None = None
+        self._last_responses: dict[asyncio.StreamWriter, bytes] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._restart: asyncio.Task[None] | None = None
         self._host = ""
@@ -115,6 +121,7 @@
             while await self._handle_request(reader, writer):
                 pass
         self._writers.discard(writer)
+        self._last_responses.pop(writer, None)
         writer.close()
 
     async def _handle_request(
@@ -175,7 +182,9 @@
             await _send_endless(writer, request_id, self.response_mode)
             return False
         body = f"answer to {request_id}".encode()
+        await self._send_foreign(writer)
         response = _build_response(200, request_id, body, signed_headers)
+        self._last_responses[writer] = response
         if self.response_mode is ResponseMode.FAIL:
             writer.write(_build_response(500, request_id, b"failed", signed_headers))
         elif self.response_mode is ResponseMode.CUT:
@@ -202,6 +211,14 @@
             writer.write(response)
         return True
 
+    async def _send_foreign(self, writer: asyncio.StreamWriter) -> None:
+        last = self._last_responses.get(writer) if self.repeats_late else None
+        for response in [*self.foreign_responses, *([last] if last else [])]:
+            writer.write(response)
+            if self.foreign_pause_s:
+                await writer.drain()
+                await asyncio.sleep(self.foreign_pause_s)
+
 
 async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
     if headers.get("transfer-encoding", "").lower() != "chunked":
