Count a second crash of a target whose new entry is not known yet

Cause: crashes were told apart by target and start time. A target that restarts under its id has the name of its earlier run until its entry is read; its crashes counted once, and a request that is often sent was at all of them too.

Change: a crash under a known name counts as another one a second after the last was first reported.

Shown by: test_later_crash_of_a_target_that_restarts_under_its_name_counts, which fails before.

--- a/src/waxwingshelf/steering/crash_suspects.py
+++ b/src/waxwingshelf/steering/crash_suspects.py
@@ -20,6 +20,9 @@
 _MIN_CRASHES = 3
 # Reports of one crash come from all instances that had requests there.
 _SETTLE_MS = 300
+# A target that restarts under its id has the name of its earlier run until its entry is known. It
+# is down for longer than this.
+_SAME_CRASH_MS = 1_000
 _MAX_CRASH_AGE_MS = 300_000
 _MAX_CRASHES = 512
 _MAX_ANSWERED = 8_192
@@ -66,26 +69,45 @@
 class CrashSuspects:
     """Reported crashes of targets, and the requests that were there; times are clock readings."""
 
-    __slots__ = ("_explained", "_reported_ms", "_runs_by_fingerprint", "_unsettled_until_ms")
+    __slots__ = (
+        "_explained",
+        "_last_crashes",
+        "_reported_ms",
+        "_runs_by_fingerprint",
+        "_unsettled_until_ms",
+    )
 
     def __init__(self) -> None:
         self._reported_ms: OrderedDict[str, int] = OrderedDict()
         # The crashes that a deadly request caused, whose further reports may still come.
         self._explained: OrderedDict[str, None] = OrderedDict()
         self._runs_by_fingerprint: dict[str, set[str]] = {}
+        # By run: when the last crash under its name was first reported, and how many came before.
+        self._last_crashes: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self._unsettled_until_ms = 0
 
     def record_crash(self, crash: TargetCrash, now_ms: int) -> None:
         """Add the report of one instance; several instances may report the same crash."""
-        if crash.target_run in self._explained:
+        run = self._name_run(crash.target_run, now_ms)
+        if run in self._explained:
             return
-        if crash.target_run not in self._reported_ms:
-            self._reported_ms[crash.target_run] = now_ms
+        if run not in self._reported_ms:
+            self._reported_ms[run] = now_ms
             self._forget_old(now_ms)
         for fingerprint in crash.fingerprints:
-            self._runs_by_fingerprint.setdefault(fingerprint, set()).add(crash.target_run)
+            self._runs_by_fingerprint.setdefault(fingerprint, set()).add(run)
         self._unsettled_until_ms = now_ms + _SETTLE_MS
 
+    def _name_run(self, target_run: str, now_ms: int) -> str:
+        """Return a name of the run that differs for a later crash under the same name."""
+        at_ms, crashes = self._last_crashes.pop(target_run, (now_ms, 0))
+        if now_ms - at_ms >= _SAME_CRASH_MS:
+            at_ms, crashes = now_ms, crashes + 1
+        self._last_crashes[target_run] = (at_ms, crashes)
+        if len(self._last_crashes) > _MAX_CRASHES:
+            self._last_crashes.popitem(last=False)
+        return f"{target_run}#{crashes}"
+
     def record_answer(self, fingerprint: str) -> bool:
         """Clear a request that was answered; return whether it was a suspect."""
         return self._runs_by_fingerprint.pop(fingerprint, None) is not None
@@ -102,6 +124,10 @@
             self.explain(deadly.target_runs, deadly.fingerprint)
         return found
 
+    def explain_crash(self, crash: TargetCrash, fingerprint: str, now_ms: int) -> None:
+        """Clear all requests of a crash that a known deadly request caused."""
+        self.explain(frozenset((self._name_run(crash.target_run, now_ms),)), fingerprint)
+
     def explain(self, target_runs: frozenset[str], fingerprint: str) -> None:
         """Clear all requests of crashes that a deadly request caused."""
         self._explained.update(dict.fromkeys(target_runs))
--- a/tests/steering/test_crash_suspects.py
+++ b/tests/steering/test_crash_suspects.py
@@ -32,6 +32,13 @@
     assert find(suspects) == []
 
 
+def test_later_crash_of_a_target_that_restarts_under_its_name_counts() -> None:
+    suspects = CrashSuspects()
+    for at_ms in (0, 100, 2_000, 2_100, 4_000):
+        record(suspects, "t1", "a", at_ms=at_ms)
+    assert find(suspects, now_ms=5_000) == ["a"]
+
+
 def test_reports_of_other_instances_are_awaited() -> None:
     suspects = CrashSuspects()
     for run in ("t1", "t2", "t3"):
@@ -67,7 +74,8 @@
 
 def test_crash_by_a_known_deadly_request_says_nothing_of_others() -> None:
     suspects = CrashSuspects()
-    suspects.explain(frozenset(("t1", "t2")), "deadly")
+    for run in ("t1", "t2"):
+        suspects.explain_crash(TargetCrash(run, frozenset()), "deadly", 0)
     for run in ("t1", "t2", "t3", "t4"):
         record(suspects, run, "harmless")
     assert find(suspects) == []
