Send a few single copies of quarantined requests as trials

All targets were down at once for 2 s, so a request that is often sent was at three crashes and was answered nowhere in between; nothing was left that could lift its quarantine of ten minutes.

Change: one, five and thirty seconds after its beginning, one copy is sent, by the instance that raises the count of trials in the store by compare-and-swap, once and to one target. An answer lifts the quarantine everywhere. A copy that no target got leaves the trial to the next one. So a deadly request gets at most three sends more, which the rule allows. Entries of the store are compared by their order, and written only over the revision that was read.

Ruled out: waiting for answers to others before a quarantine (with many copies none comes); taking earlier answers as proof (a request may become deadly).

--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -196,15 +196,27 @@
         if lease.era != self.era:
             raise StoreError(StoreErrorKind.MISSING, "keep", f"created in era {lease.era}")
 
-    async def put(self, key: str, value: bytes, lease: Lease | None = None) -> Position:
-        """Write a key unconditionally and return the position; with a lease, it ends with that."""
+    async def put(self, key: str, value: bytes, lease: Lease) -> Position:
+        """Write a key unconditionally, attach it to a lease, and return the position."""
         text = base64.b64encode(value).decode()
-        transaction = _Transaction([], [_Write(key, text, lease.id if lease else _NO_LEASE)], [])
+        transaction = _Transaction([], [_Write(key, text, lease.id)], [])
         content = await self._transact("put", transaction)
-        if lease is not None and lease.era != self.era:
+        if lease.era != self.era:
             raise StoreError(StoreErrorKind.MISSING, "put", f"lease created in era {lease.era}")
         return Position(self.era, _decode(content, _Written, "put").revision)
 
+    async def replace(self, key: str, value: bytes, position: Position) -> Position:
+        """Write a key if its last change is at `position`; else raise `CONFLICT`.
+
+        Revision 0 means that the key does not exist.
+        """
+        if position.era != self.era:
+            raise StoreError(StoreErrorKind.CONFLICT, "replace", f"read in era {position.era}")
+        expected = [_Expected(key, position.revision)]
+        write = _Write(key, base64.b64encode(value).decode(), _NO_LEASE)
+        content = await self._transact("replace", _Transaction(expected, [write], []))
+        return Position(self.era, _decode(content, _Written, "replace").revision)
+
     async def delete(self, key: str, position: Position) -> None:
         """Delete a key if its last change is at `position`; else raise `CONFLICT`."""
         if position.era != self.era:
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import structlog
 
@@ -40,10 +41,33 @@
     FailureKind.WRONG_TARGET: AttemptOutcome.NOT_RUN,
     FailureKind.TIMEOUT: AttemptOutcome.TIMED_OUT,
 }
+# After these, no target has got any part of the request.
+_UNSENT = (FailureKind.NOT_CONNECTED, FailureKind.UNREACHABLE, FailureKind.WITHDRAWN)
 _log = structlog.get_logger("dispatcher")
 _rng = random.Random()
 
 
+class Trials(Protocol):
+    """Who may send single copies of requests under quarantine."""
+
+    async def try_begin_trial(self, fingerprint: str) -> bool:
+        """Return whether a copy of a quarantined request may be sent, once, by this instance."""
+
+    def return_trial(self, fingerprint: str) -> None:
+        """Keep a trial for the next copy, as this one was not sent."""
+
+
+class NoTrials:
+    """Trials of an instance without quarantines."""
+
+    async def try_begin_trial(self, fingerprint: str) -> bool:
+        """Return False."""
+        return False
+
+    def return_trial(self, fingerprint: str) -> None:
+        """Do nothing."""
+
+
 @dataclass(slots=True)
 class Exchange:
     """The state of one request while it is dispatched; times are clock readings in milliseconds.
@@ -51,7 +75,8 @@
     `queued_at_ms` is when the dispatcher last began to look for a target. `latency_objective_at_ms`
     is when the route's latency objective is reached, `deadline_ms` the deadline given to the
     target, and `response_deadline_ms` the time by which this instance must have the response.
-    `failed_response` is a target's last failure response.
+    `failed_response` is a target's last failure response. `is_trial` is set while the request may
+    be sent once although it is quarantined.
     """
 
     id: str
@@ -70,6 +95,7 @@
     failed_response: UpstreamResponse | None = None
     last_failed_target_id: str = ""
     last_attempt: Attempt | None = None
+    is_trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +131,7 @@
         # The versions of what decides whether the waiting requests of a service can be placed, when
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
+        self.trials: Trials = NoTrials()
 
     async def run(self) -> None:
         """Serve the queues periodically while requests wait, until cancelled.
@@ -125,6 +152,16 @@
         self._dispatch_state.placer.record_request(
             exchange.service, exchange.allowed_regions, self._clock.now_ms()
         )
+        fingerprint = exchange.outgoing.fingerprint
+        if self._get_quarantine_ms(exchange) > 0:
+            exchange.is_trial = await self.trials.try_begin_trial(fingerprint)
+        try:
+            return await self._dispatch(exchange)
+        finally:
+            if exchange.is_trial:
+                self.trials.return_trial(fingerprint)
+
+    async def _dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         while True:
             if self._clock.now_ms() >= exchange.deadline_ms:
                 return _prefer_failed_response(exchange, _refuse_expired(exchange))
@@ -203,6 +240,8 @@
         )
 
     def _get_quarantine_ms(self, exchange: Exchange) -> int:
+        if exchange.is_trial:
+            return 0
         return self._routing_state.quarantines.get_remaining_ms(
             exchange.outgoing.fingerprint, self._clock.now_ms()
         )
@@ -291,9 +330,15 @@
                 handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
                 may_still_send=lambda: self._may_still_send(exchange, attempt),
             )
+        except BaseException:
+            # The request may have been sent when its caller left.
+            exchange.is_trial = False
+            raise
         finally:
             self._dispatch_state.finish_attempt(attempt)
             self._serve_queue(exchange.service)
+        if not (isinstance(result, SendFailure) and result.kind in _UNSENT):
+            exchange.is_trial = False
         self._dispatch_state.record_result(exchange.route, exchange.object_key, attempt, result)
         return result
 
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -146,6 +146,7 @@
         self._peer_network.get_mean_duration_ms = lambda: durations.mean_ms
         regions = frozenset(settings.regions.values())
         self._dispatcher = Dispatcher(self._routing_state, dispatch_state, sender, clock, metrics)
+        self._dispatcher.trials = self._quarantine_keeper
         self._rate_limiter = rate_limiter = RateLimiter(
             self._demand_tracker,
             self._fleet,
--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -9,13 +9,19 @@
 import asyncio
 import contextlib
 from collections.abc import Iterable
+from dataclasses import replace
 
 import structlog
 
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.core.rendezvous import rank
-from waxwingshelf.platform.documents import encode_quarantine, make_quarantine_key
-from waxwingshelf.platform.store import StoreClient, StoreError
+from waxwingshelf.platform.documents import (
+    DecodeError,
+    decode_quarantine,
+    encode_quarantine,
+    make_quarantine_key,
+)
+from waxwingshelf.platform.store import StoreClient, StoreError, StoreErrorKind
 from waxwingshelf.serving.crash_messages import (
     ANSWER_TYPE,
     CRASH_TYPE,
@@ -54,8 +60,9 @@
 _BUSY_INTERVAL_S = 0.1
 _IDLE_INTERVAL_S = 2.0
 _STORE_RETRY_DELAY_S = 1.0
-# The mirror of an instance shows its own write by then, unless the store was restored.
-_MIRROR_DELAY_MS = 2_500
+_CLAIM_TIMEOUT_S = 0.3
+# A process that was paused since may have become one of several that send a trial.
+_MAX_CLAIM_MS = 1_000
 _log = structlog.get_logger("quarantine")
 
 
@@ -83,8 +90,11 @@
         # What this instance has reported at crashes, and the quarantines that it has lifted.
         self._reported: dict[str, None] = {}
         self._lifted: set[str] = set()
-        # What was written to the store lately, as far as the mirror may not show it yet.
-        self._written: dict[str, tuple[Quarantine, int]] = {}
+        # The requests for which this instance is asking the store for a trial.
+        self._claims: set[str] = set()
+        # Trials that this instance may make, as no target has got the request yet.
+        self._permits: set[str] = set()
+        self._store: StoreClient | None = None
         self._has_work = asyncio.Event()
         peer_network.add_handler(CRASH_TYPE, self._handle_crash)
         peer_network.add_handler(ANSWER_TYPE, self._handle_answer)
@@ -92,6 +102,7 @@
 
     async def run(self, store: StoreClient) -> None:
         """Decide about the reported crashes and keep the store up to date, until cancelled."""
+        self._store = store
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_IDLE_INTERVAL_S):
@@ -156,7 +167,7 @@
         ]
         if known:
             # The request was on its way when its quarantine began; it explains this crash too.
-            self._suspects.explain(frozenset((crash.target_run,)), known[0])
+            self._suspects.explain_crash(crash, known[0], now_ms)
             return
         self._suspects.record_crash(crash, now_ms)
         self._has_work.set()
@@ -178,7 +189,8 @@
         if known is not None:
             # The time of day may have jumped back since.
             began_ms = max(began_ms, known.began_ms + 1)
-        quarantine = Quarantine(began_ms, False, now_ms - deadly.first_crash_ms)
+        suspected_ms = now_ms - deadly.first_crash_ms
+        quarantine = Quarantine(began_ms, False, suspected_ms=suspected_ms)
         _log.warning(
             "request_deadly",
             fingerprint=deadly.fingerprint,
@@ -196,7 +208,7 @@
             quarantine = self._quarantines.find(fingerprint)
             if quarantine is None:
                 continue
-            lifted = Quarantine(quarantine.began_ms, True, quarantine.suspected_ms)
+            lifted = replace(quarantine, lifted=True)
             self._lifted.add(fingerprint)
             self._record_quarantine(fingerprint, lifted, "answer")
             self._announce(fingerprint, lifted)
@@ -209,31 +221,89 @@
         """Write the quarantines that the store lacks, and remove those that have ended."""
         is_collector = self._name in self._list_collectors()
         for fingerprint, quarantine in self._quarantines.list_all().items():
-            if not is_collector and fingerprint not in self._lifted:
-                if self._quarantines.is_over(fingerprint, now_ms):
-                    self._quarantines.forget(fingerprint)
-                continue
-            key = make_quarantine_key(fingerprint)
-            stored = self._routing_state.mirror.get(key)
-            if self._quarantines.is_over(fingerprint, now_ms):
-                if stored is not None:
-                    era = self._routing_state.mirror.position.era
-                    await store.delete(key, Position(era, stored.revision))
+            is_over = self._quarantines.is_over(fingerprint, now_ms)
+            if is_collector or fingerprint in self._lifted:
+                await self._update_entry(store, fingerprint, quarantine, is_over)
+            if is_over:
                 self._quarantines.forget(fingerprint)
                 self._lifted.discard(fingerprint)
-                self._written.pop(fingerprint, None)
-            elif stored is None or stored.value != encode_quarantine(quarantine):
-                await self._write(store, fingerprint, quarantine, now_ms)
+                self._permits.discard(fingerprint)
 
-    async def _write(
-        self, store: StoreClient, fingerprint: str, quarantine: Quarantine, now_ms: int
+    async def _update_entry(
+        self, store: StoreClient, fingerprint: str, quarantine: Quarantine, is_over: bool
     ) -> None:
-        written, written_ms = self._written.get(fingerprint, (None, 0))
-        if written == quarantine and now_ms - written_ms < _MIRROR_DELAY_MS:
-            return
-        await store.put(make_quarantine_key(fingerprint), encode_quarantine(quarantine))
-        self._written[fingerprint] = (quarantine, now_ms)
+        key = make_quarantine_key(fingerprint)
+        stored, position = self._find_stored(key)
+        if is_over:
+            if stored is not None:
+                await store.delete(key, position)
+        elif stored is None or stored < quarantine:
+            await self._replace(store, key, quarantine, position)
+
+    def _find_stored(self, key: str) -> tuple[Quarantine | None, Position]:
+        """Return the quarantine under a store key, and the position of its last change."""
+        mirror = self._routing_state.mirror
+        change = mirror.get(key)
+        if change is None or change.value is None:
+            return None, Position(mirror.position.era, 0)
+        position = Position(mirror.position.era, change.revision)
+        try:
+            return decode_quarantine(change.value), position
+        except DecodeError:
+            # Logged when the entry was read; it is replaced.
+            return None, position
+
+    async def _replace(
+        self, store: StoreClient, key: str, quarantine: Quarantine, position: Position
+    ) -> bool:
+        """Write a quarantine; return False if another instance has written meanwhile."""
+        try:
+            await store.replace(key, encode_quarantine(quarantine), position)
+        except StoreError as failure:
+            if failure.kind is not StoreErrorKind.CONFLICT:
+                raise
+            return False
         self._metrics.store_calls.labels("quarantine", "ok").inc()
+        return True
+
+    async def try_begin_trial(self, fingerprint: str) -> bool:
+        """Return whether a copy of a quarantined request may be sent, once, by this instance.
+
+        The store decides, so that of all instances only one sends it.
+        """
+        if fingerprint in self._permits:
+            self._permits.discard(fingerprint)
+            return True
+        now_ms = self._clock.now_ms()
+        quarantine = self._quarantines.find(fingerprint)
+        if quarantine is None or self._store is None or fingerprint in self._claims:
+            return False
+        if not self._quarantines.is_trial_due(fingerprint, now_ms):
+            return False
+        key = make_quarantine_key(fingerprint)
+        stored, position = self._find_stored(key)
+        if stored != quarantine:
+            return False
+        trial = replace(quarantine, trials=quarantine.trials + 1)
+        self._claims.add(fingerprint)
+        try:
+            async with asyncio.timeout(_CLAIM_TIMEOUT_S):
+                is_claimed = await self._replace(self._store, key, trial, position)
+        except (StoreError, TimeoutError) as failure:
+            _log.info("quarantine_not_stored", fingerprint=fingerprint, detail=repr(failure))
+            return False
+        finally:
+            self._claims.discard(fingerprint)
+        if not is_claimed or self._clock.now_ms() - now_ms > _MAX_CLAIM_MS:
+            return False
+        _log.info("quarantine_trial", fingerprint=fingerprint, trials=trial.trials)
+        self._record_quarantine(fingerprint, trial, "trial")
+        self._announce(fingerprint, trial)
+        return True
+
+    def return_trial(self, fingerprint: str) -> None:
+        """Keep a trial for the next copy, as this one was not sent."""
+        self._permits.add(fingerprint)
 
     def _list_collectors(self) -> list[str]:
         peers = [peer.address for peer in self._fleet.list_peers()]
--- a/src/waxwingshelf/steering/quarantine.py
+++ b/src/waxwingshelf/steering/quarantine.py
@@ -1,7 +1,8 @@
 """Requests that are not sent to targets because they crash them.
 
 A quarantine ends after a time, since the targets may have been mended, or as soon as an instance
-knows that a target has answered the request: then it was harmless.
+knows that a target has answered the request: then it was harmless. So that a harmless request can
+show it, a few single copies are sent as trials, of all instances together.
 """
 
 from __future__ import annotations
@@ -12,6 +13,8 @@
 
 QUARANTINE_MS = 600_000
 _MAX_QUARANTINES = 1_024
+# The ages of a quarantine at which a trial is due; the targets may have crashed for another reason.
+_TRIAL_AGES_MS = (1_000, 5_000, 30_000)
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -19,12 +22,13 @@
     """A quarantine as instances tell it to each other; of two, the greater one holds.
 
     `began_ms` is in milliseconds since the Unix epoch. `suspected_ms` is the time from the first
-    crash that the request caused until then.
+    crash that the request caused until then, `trials` the number of trials begun since.
     """
 
     began_ms: int
     lifted: bool
-    suspected_ms: int
+    trials: int = 0
+    suspected_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -55,11 +59,10 @@
             del self._entries[min(self._entries, key=self._get_until_ms)]
         age_ms = min(max(0, wall_ms - quarantine.began_ms), QUARANTINE_MS)
         suspected_since_ms = now_ms - quarantine.suspected_ms
+        until_ms = now_ms + QUARANTINE_MS - age_ms
         if known is not None and known.quarantine.began_ms == quarantine.began_ms:
-            suspected_since_ms = known.suspected_since_ms
-        self._entries[fingerprint] = _Entry(
-            quarantine, now_ms + QUARANTINE_MS - age_ms, suspected_since_ms
-        )
+            suspected_since_ms, until_ms = known.suspected_since_ms, known.until_ms
+        self._entries[fingerprint] = _Entry(quarantine, until_ms, suspected_since_ms)
         self.version += 1
         return True
 
@@ -75,6 +78,14 @@
             return 0
         return max(0, entry.until_ms - now_ms)
 
+    def is_trial_due(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether a single copy of a quarantined request may be sent now."""
+        entry = self._entries.get(fingerprint)
+        if entry is None or entry.quarantine.trials >= len(_TRIAL_AGES_MS):
+            return False
+        age_ms = now_ms - (entry.until_ms - QUARANTINE_MS)
+        return age_ms >= _TRIAL_AGES_MS[entry.quarantine.trials]
+
     def list_in_force(self, now_ms: int) -> dict[str, int]:
         """Return since when each quarantined request has been suspected."""
         return {
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import os
 import signal
 import subprocess
@@ -23,6 +24,7 @@
 REGIONS = {"north-1": "north", "south-1": "south"}
 INSTANCES = 4
 TARGETS = 4
+DEADLY_TEXT = "deadly"
 
 
 @dataclass(slots=True)
@@ -96,6 +98,9 @@
             await target.start(HOST)
             proxy = Proxy(HOST, target.port)
             await proxy.start(HOST)
+            target.deadly_text = DEADLY_TEXT
+            target.on_crash = proxy.refuse
+            target.on_restart = functools.partial(proxy.start, HOST)
             self.targets.append(target)
             self.target_proxies.append(proxy)
             self.register(number)
