Decide about crashes without waiting for the store

Cause: one task decided and wrote. While the store was silent, its call took its whole timeout, and a second deadly request was not stopped until then.

Shown by: test_second_deadly_request_is_stopped_while_the_store_is_silent, which took 2.6 s before (bound: half of the rule's window).

Change: serving.quarantine_store is a task of its own, and claims trials. Also: a trial that was not sent counts only for its own quarantine, and a collector that learns of a quarantine no longer begins it anew.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -448,6 +448,6 @@
         sends=exchange.attempts.sends,
         waited_ms=attempt.sent_ms - exchange.queued_at_ms if attempt else 0,
         load=attempt.placement.load if attempt else 0,
-        fingerprint=exchange.outgoing.fingerprint,
         slots=attempt.state.target.slots if attempt else 0,
+        fingerprint=exchange.outgoing.fingerprint,
     )
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -33,6 +33,7 @@
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.peers import PeerNetwork
 from waxwingshelf.serving.quarantine_keeper import QuarantineKeeper
+from waxwingshelf.serving.quarantine_store import QuarantineStore
 from waxwingshelf.serving.rate_limiter import RateLimiter
 from waxwingshelf.serving.reachability_prober import ReachabilityProber
 from waxwingshelf.serving.relay import RelayEndpoint
@@ -125,8 +126,15 @@
         self._crash_detector = CrashDetector(
             self._prober, self._target_contact, open_target_socket, metrics
         )
+        self._quarantine_store = QuarantineStore(self._routing_state, clock, metrics)
         self._quarantine_keeper = QuarantineKeeper(
-            settings.name, self._routing_state, self._fleet, self._peer_network, clock, metrics
+            settings.name,
+            self._routing_state,
+            self._fleet,
+            self._peer_network,
+            self._quarantine_store,
+            clock,
+            metrics,
         )
         self._crash_detector.on_crash = self._quarantine_keeper.report_crash
         self._upstream.result_handlers += [
@@ -224,7 +232,8 @@
             asyncio.create_task(self._run_updates()),
             asyncio.create_task(self._dispatcher.run()),
             asyncio.create_task(self._prober.run()),
-            asyncio.create_task(self._quarantine_keeper.run(store)),
+            asyncio.create_task(self._quarantine_keeper.run()),
+            asyncio.create_task(self._quarantine_store.run(store)),
             asyncio.create_task(self._pull_from_seeds()),
             asyncio.create_task(self._poll_settings()),
         ]
--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -15,13 +15,6 @@
 
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.core.rendezvous import rank
-from waxwingshelf.platform.documents import (
-    DecodeError,
-    decode_quarantine,
-    encode_quarantine,
-    make_quarantine_key,
-)
-from waxwingshelf.platform.store import StoreClient, StoreError, StoreErrorKind
 from waxwingshelf.serving.crash_messages import (
     ANSWER_TYPE,
     CRASH_TYPE,
@@ -38,6 +31,7 @@
 )
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.peers import PeerNetwork
+from waxwingshelf.serving.quarantine_store import QuarantineStore
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.send_results import OutgoingRequest, SendFailure, UpstreamResponse
 from waxwingshelf.steering.crash_suspects import (
@@ -47,7 +41,6 @@
     TargetCrash,
 )
 from waxwingshelf.steering.fleet import Fleet
-from waxwingshelf.steering.mirror import Position
 from waxwingshelf.steering.quarantine import Quarantine
 from waxwingshelf.steering.targets import Target
 
@@ -59,10 +52,6 @@
 _MAX_REPORTED_SUSPECTS = 1_024
 _BUSY_INTERVAL_S = 0.1
 _IDLE_INTERVAL_S = 2.0
-_STORE_RETRY_DELAY_S = 1.0
-_CLAIM_TIMEOUT_S = 0.3
-# A process that was paused since may have become one of several that send a trial.
-_MAX_CLAIM_MS = 1_000
 _log = structlog.get_logger("quarantine")
 
 
@@ -75,6 +64,7 @@
         routing_state: RoutingState,
         fleet: Fleet,
         peer_network: PeerNetwork,
+        store: QuarantineStore,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -90,19 +80,18 @@
         # What this instance has reported at crashes, and the quarantines that it has lifted.
         self._reported: dict[str, None] = {}
         self._lifted: set[str] = set()
-        # The requests for which this instance is asking the store for a trial.
-        self._claims: set[str] = set()
-        # Trials that this instance may make, as no target has got the request yet.
-        self._permits: set[str] = set()
-        self._store: StoreClient | None = None
+        # Trials that this instance may make, as no target has got the request yet: the beginning of
+        # the quarantine by fingerprint.
+        self._permits: dict[str, int] = {}
+        self._store = store
+        store.is_responsible = self._is_responsible
         self._has_work = asyncio.Event()
         peer_network.add_handler(CRASH_TYPE, self._handle_crash)
         peer_network.add_handler(ANSWER_TYPE, self._handle_answer)
         peer_network.add_handler(QUARANTINE_TYPE, self._handle_quarantine)
 
-    async def run(self, store: StoreClient) -> None:
-        """Decide about the reported crashes and keep the store up to date, until cancelled."""
-        self._store = store
+    async def run(self) -> None:
+        """Decide about the reported crashes and lift quarantines, until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_IDLE_INTERVAL_S):
@@ -115,15 +104,7 @@
             if self._suspects.is_unsettled(now_ms):
                 self._has_work.set()
             self._lift_answered(now_ms)
-            in_force = self._quarantines.list_in_force(now_ms)
-            self._metrics.quarantined.set(len(in_force))
-            try:
-                await self._update_store(store, now_ms)
-            except StoreError as failure:
-                self._metrics.store_calls.labels(failure.step, failure.kind.value).inc()
-                _log.info("quarantine_not_stored", detail=str(failure))
-                await asyncio.sleep(_STORE_RETRY_DELAY_S)
-                self._has_work.set()
+            self._forget_ended(now_ms)
 
     def record_result(
         self, target: Target, request: OutgoingRequest, result: UpstreamResponse | SendFailure
@@ -182,8 +163,12 @@
     def _record_quarantine(self, fingerprint: str, quarantine: Quarantine, source: str) -> None:
         self._routing_state.record_quarantine(fingerprint, quarantine, source)
         self._has_work.set()
+        self._store.update_soon()
 
     def _begin(self, deadly: DeadlyRequest, now_ms: int) -> None:
+        if self._quarantines.get_remaining_ms(deadly.fingerprint, now_ms) > 0:
+            # Another collector was sooner.
+            return
         known = self._quarantines.find(deadly.fingerprint)
         began_ms = self._clock.wall_ms()
         if known is not None:
@@ -213,88 +198,29 @@
             self._record_quarantine(fingerprint, lifted, "answer")
             self._announce(fingerprint, lifted)
 
+    def _forget_ended(self, now_ms: int) -> None:
+        in_force = self._quarantines.list_in_force(now_ms)
+        self._metrics.quarantined.set(len(in_force))
+        for fingerprint in self._permits.keys() - in_force.keys():
+            del self._permits[fingerprint]
+        for fingerprint in self._lifted - self._quarantines.list_all().keys():
+            self._lifted.discard(fingerprint)
+
+    def _is_responsible(self, fingerprint: str) -> bool:
+        """Return whether this instance keeps a quarantine in the store."""
+        return fingerprint in self._lifted or self._name in self._list_collectors()
+
     def _announce(self, fingerprint: str, quarantine: Quarantine) -> None:
         data = encode_quarantine_message(QuarantineMessage(fingerprint, quarantine))
         self._send((peer.address.name for peer in self._fleet.list_peers()), data)
 
-    async def _update_store(self, store: StoreClient, now_ms: int) -> None:
-        """Write the quarantines that the store lacks, and remove those that have ended."""
-        is_collector = self._name in self._list_collectors()
-        for fingerprint, quarantine in self._quarantines.list_all().items():
-            is_over = self._quarantines.is_over(fingerprint, now_ms)
-            if is_collector or fingerprint in self._lifted:
-                await self._update_entry(store, fingerprint, quarantine, is_over)
-            if is_over:
-                self._quarantines.forget(fingerprint)
-                self._lifted.discard(fingerprint)
-                self._permits.discard(fingerprint)
-
-    async def _update_entry(
-        self, store: StoreClient, fingerprint: str, quarantine: Quarantine, is_over: bool
-    ) -> None:
-        key = make_quarantine_key(fingerprint)
-        stored, position = self._find_stored(key)
-        if is_over:
-            if stored is not None:
-                await store.delete(key, position)
-        elif stored is None or stored < quarantine:
-            await self._replace(store, key, quarantine, position)
-
-    def _find_stored(self, key: str) -> tuple[Quarantine | None, Position]:
-        """Return the quarantine under a store key, and the position of its last change."""
-        mirror = self._routing_state.mirror
-        change = mirror.get(key)
-        if change is None or change.value is None:
-            return None, Position(mirror.position.era, 0)
-        position = Position(mirror.position.era, change.revision)
-        try:
-            return decode_quarantine(change.value), position
-        except DecodeError:
-            # Logged when the entry was read; it is replaced.
-            return None, position
-
-    async def _replace(
-        self, store: StoreClient, key: str, quarantine: Quarantine, position: Position
-    ) -> bool:
-        """Write a quarantine; return False if another instance has written meanwhile."""
-        try:
-            await store.replace(key, encode_quarantine(quarantine), position)
-        except StoreError as failure:
-            if failure.kind is not StoreErrorKind.CONFLICT:
-                raise
-            return False
-        self._metrics.store_calls.labels("quarantine", "ok").inc()
-        return True
-
     async def try_begin_trial(self, fingerprint: str) -> bool:
-        """Return whether a copy of a quarantined request may be sent, once, by this instance.
-
-        The store decides, so that of all instances only one sends it.
-        """
-        if fingerprint in self._permits:
-            self._permits.discard(fingerprint)
+        """Return whether a copy of a quarantined request may be sent, once, by this instance."""
+        known = self._quarantines.find(fingerprint)
+        if known is not None and self._permits.pop(fingerprint, None) == known.began_ms:
             return True
-        now_ms = self._clock.now_ms()
-        quarantine = self._quarantines.find(fingerprint)
-        if quarantine is None or self._store is None or fingerprint in self._claims:
-            return False
-        if not self._quarantines.is_trial_due(fingerprint, now_ms):
-            return False
-        key = make_quarantine_key(fingerprint)
-        stored, position = self._find_stored(key)
-        if stored != quarantine:
-            return False
-        trial = replace(quarantine, trials=quarantine.trials + 1)
-        self._claims.add(fingerprint)
-        try:
-            async with asyncio.timeout(_CLAIM_TIMEOUT_S):
-                is_claimed = await self._replace(self._store, key, trial, position)
-        except (StoreError, TimeoutError) as failure:
-            _log.info("quarantine_not_stored", fingerprint=fingerprint, detail=repr(failure))
-            return False
-        finally:
-            self._claims.discard(fingerprint)
-        if not is_claimed or self._clock.now_ms() - now_ms > _MAX_CLAIM_MS:
+        trial = await self._store.claim_trial(fingerprint)
+        if trial is None:
             return False
         _log.info("quarantine_trial", fingerprint=fingerprint, trials=trial.trials)
         self._record_quarantine(fingerprint, trial, "trial")
@@ -303,7 +229,9 @@
 
     def return_trial(self, fingerprint: str) -> None:
         """Keep a trial for the next copy, as this one was not sent."""
-        self._permits.add(fingerprint)
+        known = self._quarantines.find(fingerprint)
+        if known is not None:
+            self._permits[fingerprint] = known.began_ms
 
     def _list_collectors(self) -> list[str]:
         peers = [peer.address for peer in self._fleet.list_peers()]
--- a/tests/serving/test_quarantine.py
+++ b/tests/serving/test_quarantine.py
@@ -10,7 +10,12 @@
 
 from standins.platform_store import StoreFault
 from standins.platform_target import ResponseMode
-from tests.serving.test_deadly_requests import DEADLY_TEXT, count_crashes, start_fleet
+from tests.serving.test_deadly_requests import (
+    DEADLY_TEXT,
+    STABILITY_WINDOW_S,
+    count_crashes,
+    start_fleet,
+)
 from waxwingshelf.core.rendezvous import rank
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
 from waxwingshelf.serving.send_results import OutgoingRequest
@@ -29,11 +34,11 @@
     }
 
 
-async def send_until_quarantined(deployment, names) -> None:
+async def send_until_quarantined(deployment, names, path=DEADLY_PATH) -> None:
     async with asyncio.timeout(WAIT_S):
         for number in range(1_000):
             name = names[number % len(names)]
-            response = await deployment.send_request(DEADLY_PATH, name)
+            response = await deployment.send_request(path, name)
             if response.body == b"quarantined\n":
                 return
             await asyncio.sleep(0.05)
@@ -92,6 +97,20 @@
     run_scenario(scenario)
 
 
+def test_second_deadly_request_is_stopped_while_the_store_is_silent(run_scenario) -> None:
+    """The decision waited until the store had answered about the first one."""
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        deployment.store.fault = StoreFault.SILENT
+        await send_until_quarantined(deployment, names)
+        began_s = time.monotonic()
+        await send_until_quarantined(deployment, names, DEADLY_PATH + "/2")
+        assert time.monotonic() - began_s < STABILITY_WINDOW_S / 2
+
+    run_scenario(scenario)
+
+
 def test_quarantine_is_stored_again_after_the_store_came_back_from_a_copy(run_scenario) -> None:
     async def scenario(deployment) -> None:
         names = await start_fleet(deployment, 2)
