Give copies of a streamed request one fingerprint

Cause: what is read of a body before it is streamed, up to 64 KiB more than 1 MiB, depends on the sizes of its packets, and all of it was hashed. Copies of a request with a body over 1 MiB got different fingerprints, so one that crashes targets was not stopped.

Change: only the first 1 MiB is hashed, which is always read.

--- a/src/waxwingshelf/serving/bodies.py
+++ b/src/waxwingshelf/serving/bodies.py
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
-__all__ = ["BodyTooLargeError", "StreamedBody", "read_body"]
+__all__ = ["MAX_BUFFERED_BYTES", "BodyTooLargeError", "StreamedBody", "read_body"]
 
-_MAX_BUFFERED_BYTES = 1024 * 1024
+MAX_BUFFERED_BYTES = 1024 * 1024
 _CHUNK_BYTES = 64 * 1024
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -49,7 +49,7 @@
         request.transport.write(_CONTINUE_RESPONSE)
     chunks: list[bytes] = []
     size = 0
-    while size <= _MAX_BUFFERED_BYTES:
+    while size <= MAX_BUFFERED_BYTES:
         chunk = await request.content.read(_CHUNK_BYTES)
         if not chunk:
             return b"".join(chunks)
--- a/src/waxwingshelf/serving/request_fingerprints.py
+++ b/src/waxwingshelf/serving/request_fingerprints.py
@@ -5,7 +5,7 @@
 import hashlib
 
 from waxwingshelf.platform.names import ORGANISATION_HEADER
-from waxwingshelf.serving.bodies import StreamedBody
+from waxwingshelf.serving.bodies import MAX_BUFFERED_BYTES, StreamedBody
 from waxwingshelf.serving.send_results import OutgoingRequest
 
 __all__ = ["compute_fingerprint"]
@@ -16,7 +16,7 @@
 def compute_fingerprint(request: OutgoingRequest) -> str:
     """Return a hash of what a request is: method, host, path, organisation and body.
 
-    Of a streamed body, only the beginning counts.
+    Of a streamed body, only the beginning counts that is read in any case before it is streamed.
     """
     headers, body = request.headers, request.body
     parts = (
@@ -30,5 +30,6 @@
     )
     digest.update(b"\0")
     if body is not None:
-        digest.update(body.beginning if isinstance(body, StreamedBody) else body)
+        content = body.beginning if isinstance(body, StreamedBody) else body
+        digest.update(memoryview(content)[:MAX_BUFFERED_BYTES])
     return digest.hexdigest()
