Drop a default that nothing used, and share what stood twice

Read again: the dispatcher had a null object for trials that the product never used, now a constructor argument; the kinds of failure after which nothing was sent stood beside the kinds after which nothing ran (FailureKind.certainly_not_sent); four store keys were cut by the same expression; the keeper looked a quarantine up again that it had just listed. Behaviour stays as it is; the tests of documents, quarantines and suspects pass unchanged but for the form of one value, whose figure is asserted as before.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -167,22 +167,22 @@
 
 def parse_target_id(key: str) -> str | None:
     """Return the target id in a store key, or None if it is not a key of a target."""
-    return key[len(TARGET_PREFIX) :] if key.startswith(TARGET_PREFIX) else None
+    return _strip_prefix(key, TARGET_PREFIX)
 
 
 def parse_evacuated_domain(key: str) -> str | None:
     """Return the failure domain in a store key, or None if it is not a key of an evacuation."""
-    return key[len(EVACUATION_PREFIX) :] if key.startswith(EVACUATION_PREFIX) else None
+    return _strip_prefix(key, EVACUATION_PREFIX)
 
 
 def parse_member_name(key: str) -> str | None:
     """Return the instance name in a store key, or None if it is not a key of an instance."""
-    return key[len(MEMBER_PREFIX) :] if key.startswith(MEMBER_PREFIX) else None
+    return _strip_prefix(key, MEMBER_PREFIX)
 
 
 def parse_quarantined_request(key: str) -> str | None:
     """Return the fingerprint in a store key, or None if it is not a key of a quarantine."""
-    return key[len(QUARANTINE_PREFIX) :] if key.startswith(QUARANTINE_PREFIX) else None
+    return _strip_prefix(key, QUARANTINE_PREFIX)
 
 
 def make_quarantine_key(fingerprint: str) -> str:
@@ -252,6 +252,10 @@
     return msgspec.json.encode(quarantine)
 
 
+def _strip_prefix(key: str, prefix: str) -> str | None:
+    return key[len(prefix) :] if key.startswith(prefix) else None
+
+
 def _parse_version(text: str) -> int:
     if not text.startswith("r") or not text[1:].isdigit():
         raise ValueError(f"version: {text!r} is not 'r' followed by a number")
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -41,8 +41,6 @@
     FailureKind.WRONG_TARGET: AttemptOutcome.NOT_RUN,
     FailureKind.TIMEOUT: AttemptOutcome.TIMED_OUT,
 }
-# After these, no target has got any part of the request.
-_UNSENT = (FailureKind.NOT_CONNECTED, FailureKind.UNREACHABLE, FailureKind.WITHDRAWN)
 _log = structlog.get_logger("dispatcher")
 _rng = random.Random()
 
@@ -57,17 +55,6 @@
         """Keep a trial for the next copy, as this one was not sent."""
 
 
-class NoTrials:
-    """Trials of an instance without quarantines."""
-
-    async def try_begin_trial(self, fingerprint: str) -> bool:
-        """Return False."""
-        return False
-
-    def return_trial(self, fingerprint: str) -> None:
-        """Do nothing."""
-
-
 @dataclass(slots=True)
 class Exchange:
     """The state of one request while it is dispatched; times are clock readings in milliseconds.
@@ -118,12 +105,14 @@
         routing_state: RoutingState,
         dispatch_state: DispatchState,
         sender: TargetSender,
+        trials: Trials,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._routing_state = routing_state
         self._dispatch_state = dispatch_state
         self._sender = sender
+        self._trials = trials
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
@@ -131,7 +120,6 @@
         # The versions of what decides whether the waiting requests of a service can be placed, when
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
-        self.trials: Trials = NoTrials()
 
     async def run(self) -> None:
         """Serve the queues periodically while requests wait, until cancelled.
@@ -154,12 +142,12 @@
         )
         fingerprint = exchange.outgoing.fingerprint
         if self._get_quarantine_ms(exchange) > 0:
-            exchange.is_trial = await self.trials.try_begin_trial(fingerprint)
+            exchange.is_trial = await self._trials.try_begin_trial(fingerprint)
         try:
             return await self._dispatch(exchange)
         finally:
             if exchange.is_trial:
-                self.trials.return_trial(fingerprint)
+                self._trials.return_trial(fingerprint)
 
     async def _dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         while True:
@@ -337,7 +325,7 @@
         finally:
             self._dispatch_state.finish_attempt(attempt)
             self._serve_queue(exchange.service)
-        if not (isinstance(result, SendFailure) and result.kind in _UNSENT):
+        if not (isinstance(result, SendFailure) and result.kind.certainly_not_sent):
             exchange.is_trial = False
         self._dispatch_state.record_result(exchange.route, exchange.object_key, attempt, result)
         return result
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -153,8 +153,9 @@
         durations = dispatch_state.duration_average
         self._peer_network.get_mean_duration_ms = lambda: durations.mean_ms
         regions = frozenset(settings.regions.values())
-        self._dispatcher = Dispatcher(self._routing_state, dispatch_state, sender, clock, metrics)
-        self._dispatcher.trials = self._quarantine_keeper
+        self._dispatcher = Dispatcher(
+            self._routing_state, dispatch_state, sender, self._quarantine_keeper, clock, metrics
+        )
         self._rate_limiter = rate_limiter = RateLimiter(
             self._demand_tracker,
             self._fleet,
--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 import structlog
@@ -41,7 +41,7 @@
     TargetCrash,
 )
 from waxwingshelf.steering.fleet import Fleet
-from waxwingshelf.steering.quarantine import Quarantine
+from waxwingshelf.steering.quarantine import Quarantine, QuarantineEntry
 from waxwingshelf.steering.targets import Target
 
 __all__ = ["QuarantineKeeper"]
@@ -104,7 +104,9 @@
             if self._suspects.is_unsettled(now_ms):
                 self._has_work.set()
             self._lift_answered(now_ms)
-            self._forget_ended(now_ms)
+            in_force = self._quarantines.list_in_force(now_ms)
+            self._metrics.quarantined.set(len(in_force))
+            self._forget_ended(in_force)
 
     def record_result(
         self, target: Target, request: OutgoingRequest, result: UpstreamResponse | SendFailure
@@ -187,20 +189,15 @@
         self._announce(deadly.fingerprint, quarantine)
 
     def _lift_answered(self, now_ms: int) -> None:
-        for fingerprint, since_ms in self._quarantines.list_in_force(now_ms).items():
-            if not self._answered.was_answered_since(fingerprint, since_ms):
+        for fingerprint, entry in self._quarantines.list_in_force(now_ms).items():
+            if not self._answered.was_answered_since(fingerprint, entry.suspected_since_ms):
                 continue
-            quarantine = self._quarantines.find(fingerprint)
-            if quarantine is None:
-                continue
-            lifted = replace(quarantine, lifted=True)
+            lifted = replace(entry.quarantine, lifted=True)
             self._lifted.add(fingerprint)
             self._record_quarantine(fingerprint, lifted, "answer")
             self._announce(fingerprint, lifted)
 
-    def _forget_ended(self, now_ms: int) -> None:
-        in_force = self._quarantines.list_in_force(now_ms)
-        self._metrics.quarantined.set(len(in_force))
+    def _forget_ended(self, in_force: Mapping[str, QuarantineEntry]) -> None:
         for fingerprint in self._permits.keys() - in_force.keys():
             del self._permits[fingerprint]
         for fingerprint in self._lifted - self._quarantines.list_all().keys():
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -31,16 +31,16 @@
         """Return whether the request certainly did not run and never will."""
         return self in _NOT_RUN_KINDS
 
+    @property
+    def certainly_not_sent(self) -> bool:
+        """Return whether no target has got any part of the request."""
+        return self in _NOT_SENT_KINDS
+
 
-_NOT_RUN_KINDS = frozenset(
-    {
-        FailureKind.NOT_CONNECTED,
-        FailureKind.UNREACHABLE,
-        FailureKind.WITHDRAWN,
-        FailureKind.SHED,
-        FailureKind.WRONG_TARGET,
-    }
+_NOT_SENT_KINDS = frozenset(
+    {FailureKind.NOT_CONNECTED, FailureKind.UNREACHABLE, FailureKind.WITHDRAWN}
 )
+_NOT_RUN_KINDS = _NOT_SENT_KINDS | {FailureKind.SHED, FailureKind.WRONG_TARGET}
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingshelf/steering/quarantine.py
+++ b/src/waxwingshelf/steering/quarantine.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["QUARANTINE_MS", "Quarantine", "QuarantineList"]
+__all__ = ["QUARANTINE_MS", "Quarantine", "QuarantineEntry", "QuarantineList"]
 
 QUARANTINE_MS = 600_000
 _MAX_QUARANTINES = 1_024
@@ -32,7 +32,9 @@
 
 
 @dataclass(slots=True)
-class _Entry:
+class QuarantineEntry:
+    """A quarantine with its times at this instance: its end, and the first crash."""
+
     quarantine: Quarantine
     until_ms: int
     suspected_since_ms: int
@@ -47,7 +49,7 @@
     __slots__ = ("_entries", "version")
 
     def __init__(self) -> None:
-        self._entries: dict[str, _Entry] = {}
+        self._entries: dict[str, QuarantineEntry] = {}
         self.version = 0
 
     def record(self, fingerprint: str, quarantine: Quarantine, now_ms: int, wall_ms: int) -> bool:
@@ -62,7 +64,7 @@
         until_ms = now_ms + QUARANTINE_MS - age_ms
         if known is not None and known.quarantine.began_ms == quarantine.began_ms:
             suspected_since_ms, until_ms = known.suspected_since_ms, known.until_ms
-        self._entries[fingerprint] = _Entry(quarantine, until_ms, suspected_since_ms)
+        self._entries[fingerprint] = QuarantineEntry(quarantine, until_ms, suspected_since_ms)
         self.version += 1
         return True
 
@@ -86,10 +88,10 @@
         age_ms = now_ms - (entry.until_ms - QUARANTINE_MS)
         return age_ms >= _TRIAL_AGES_MS[entry.quarantine.trials]
 
-    def list_in_force(self, now_ms: int) -> dict[str, int]:
-        """Return since when each quarantined request has been suspected."""
+    def list_in_force(self, now_ms: int) -> dict[str, QuarantineEntry]:
+        """Return the requests that must not be sent now."""
         return {
-            fingerprint: entry.suspected_since_ms
+            fingerprint: entry
             for fingerprint, entry in self._entries.items()
             if not entry.quarantine.lifted and now_ms < entry.until_ms
         }
--- a/tests/steering/test_quarantine.py
+++ b/tests/steering/test_quarantine.py
@@ -53,7 +53,8 @@
     version = quarantines.version
     assert not quarantines.record("f", BEGUN, 5_000, WALL_MS)
     assert quarantines.version == version
-    assert quarantines.list_in_force(5_000) == {"f": -500}
+    in_force = quarantines.list_in_force(5_000)
+    assert {name: entry.suspected_since_ms for name, entry in in_force.items()} == {"f": -500}
 
 
 def test_number_of_quarantines_is_bounded() -> None:
