Give the state of a dispatched request a module of its own

Tests added for cases that nothing covered: a streamed request that crashes targets, another body on the same path, and such a request sent through a peer.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -3,34 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 import structlog
 
 from waxwingshelf.core.clock import Clock
-from waxwingshelf.platform.names import EXPECTED_TARGET_HEADER, ORGANISATION_HEADER
+from waxwingshelf.platform.names import EXPECTED_TARGET_HEADER
 from waxwingshelf.serving.dispatch_state import Attempt, DispatchState
+from waxwingshelf.serving.exchange import (
+    Exchange,
+    choose_retry_after_ms,
+    prefer_failed_response,
+    refuse,
+    refuse_expired,
+)
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
-from waxwingshelf.serving.send_results import (
-    FailureKind,
-    OutgoingRequest,
-    SendFailure,
-    UpstreamResponse,
-)
+from waxwingshelf.serving.send_results import FailureKind, SendFailure, UpstreamResponse
 from waxwingshelf.serving.target_sender import TargetSender
-from waxwingshelf.steering.attempts import AttemptOutcome, Attempts, NextStep
-from waxwingshelf.steering.config import RouteRule
+from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
 from waxwingshelf.steering.placement import PlacementRequest
-from waxwingshelf.steering.refusals import Refusal, RefusalReason, RefusedRequest, Step
+from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
 
-__all__ = ["Dispatcher", "Exchange", "choose_retry_after_ms"]
+__all__ = ["Dispatcher", "Trials"]
 
-_RETRY_AFTER_RANGE_MS = (150, 450)
-_MAX_RETRY_AFTER_MS = 1_200
 _MIN_FAILURE_STATUS = 500
 _QUEUE_POLL_INTERVAL_S = 0.02
 _OUTCOMES = {
@@ -42,7 +40,6 @@
     FailureKind.TIMEOUT: AttemptOutcome.TIMED_OUT,
 }
 _log = structlog.get_logger("dispatcher")
-_rng = random.Random()
 
 
 class Trials(Protocol):
@@ -55,36 +52,6 @@
         """Keep a trial for the next copy, as this one was not sent."""
 
 
-@dataclass(slots=True)
-class Exchange:
-    """The state of one request while it is dispatched; times are clock readings in milliseconds.
-
-    `queued_at_ms` is when the dispatcher last began to look for a target. `latency_objective_at_ms`
-    is when the route's latency objective is reached, `deadline_ms` the deadline given to the
-    target, and `response_deadline_ms` the time by which this instance must have the response.
-    `failed_response` is a target's last failure response. `is_trial` is set while the request may
-    be sent once although it is quarantined.
-    """
-
-    id: str
-    route: RouteRule
-    service: str
-    object_key: str
-    priority: int
-    queued_at_ms: int
-    latency_objective_at_ms: int
-    deadline_ms: int
-    response_deadline_ms: int
-    allowed_regions: frozenset[str]
-    outgoing: OutgoingRequest
-    attempts: Attempts
-    excluded_targets: set[str] = field(default_factory=set)
-    failed_response: UpstreamResponse | None = None
-    last_failed_target_id: str = ""
-    last_attempt: Attempt | None = None
-    is_trial: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class _NoPlacement:
     """Why a request gets no target, and when it may come back."""
@@ -152,10 +119,10 @@
     async def _dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         while True:
             if self._clock.now_ms() >= exchange.deadline_ms:
-                return _prefer_failed_response(exchange, _refuse_expired(exchange))
+                return prefer_failed_response(exchange, refuse_expired(exchange))
             attempt = await self._wait_for_placement(exchange)
             if isinstance(attempt, Refusal):
-                return _prefer_failed_response(exchange, attempt)
+                return prefer_failed_response(exchange, attempt)
             result = await self._send(exchange, attempt)
             final_result = self._process_result(exchange, result)
             if final_result is not None:
@@ -168,7 +135,7 @@
         if unplaceable is not None:
             return _refuse_placement(exchange, unplaceable)
         if queue.is_full():
-            return _refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
+            return refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
         attempt = self._place(exchange)
         if attempt is not None:
             queue.record_placement(exchange.allowed_regions, False, exchange.queued_at_ms)
@@ -359,24 +326,11 @@
             )
             return None
         reason = decision.reason or RefusalReason.TARGET_FAILED
-        return _prefer_failed_response(
-            exchange, _refuse(exchange, reason, Step.SEND, f"{kind}: {detail}")
+        return prefer_failed_response(
+            exchange, refuse(exchange, reason, Step.SEND, f"{kind}: {detail}")
         )
 
 
-def choose_retry_after_ms(expected_wait_ms: int = 0) -> int:
-    """Return a random delay in milliseconds after which a refused caller may retry.
-
-    The delay is random so that the callers of a burst do not all retry at the same time. If the
-    expected wait for capacity is longer than the usual delays, it becomes the upper bound, up to
-    `_MAX_RETRY_AFTER_MS`. The lower bound is then a third of the upper one, since capacity may
-    become available earlier than expected.
-    """
-    min_ms, max_ms = _RETRY_AFTER_RANGE_MS
-    max_ms = max(max_ms, min(expected_wait_ms, _MAX_RETRY_AFTER_MS))
-    return _rng.randint(max(min_ms, max_ms // 3), max_ms)
-
-
 def _resolve(
     future: asyncio.Future[Attempt | _NoPlacement], result: Attempt | _NoPlacement
 ) -> None:
@@ -385,12 +339,7 @@
 
 
 def _refuse_placement(exchange: Exchange, result: _NoPlacement) -> Refusal:
-    return _refuse(exchange, result.reason, Step.PLACE, result.detail, result.retry_after_ms)
-
-
-def _prefer_failed_response(exchange: Exchange, refusal: Refusal) -> UpstreamResponse | Refusal:
-    """Return the last failure response of a target if there is one, else the refusal."""
-    return exchange.failed_response or refusal
+    return refuse(exchange, result.reason, Step.PLACE, result.detail, result.retry_after_ms)
 
 
 def _classify(result: UpstreamResponse | SendFailure) -> AttemptOutcome:
@@ -398,44 +347,3 @@
         failed = result.status >= _MIN_FAILURE_STATUS
         return AttemptOutcome.ANSWERED_FAILURE if failed else AttemptOutcome.ANSWERED
     return _OUTCOMES.get(result.kind, AttemptOutcome.UNCERTAIN)
-
-
-def _refuse_expired(exchange: Exchange) -> Refusal:
-    if exchange.attempts.maybe_run:
-        return _refuse(exchange, RefusalReason.TIMEOUT_AFTER_SEND, Step.SEND, "")
-    return _refuse(exchange, RefusalReason.TIMEOUT_BEFORE_SEND, Step.PLACE, "")
-
-
-def _refuse(
-    exchange: Exchange,
-    reason: RefusalReason,
-    step: Step,
-    detail: str,
-    retry_after_ms: int | None = None,
-) -> Refusal:
-    return Refusal(
-        reason,
-        step,
-        exchange.last_failed_target_id,
-        detail,
-        exchange.attempts.maybe_run,
-        choose_retry_after_ms() if retry_after_ms is None else retry_after_ms,
-        _describe_request(exchange),
-    )
-
-
-def _describe_request(exchange: Exchange) -> RefusedRequest:
-    route, attempt = exchange.route, exchange.last_attempt
-    return RefusedRequest(
-        route=route.name,
-        service=exchange.service,
-        organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
-        regions=tuple(sorted(exchange.allowed_regions)),
-        time_ms=exchange.deadline_ms
-        - (exchange.latency_objective_at_ms - route.latency_objective_ms),
-        sends=exchange.attempts.sends,
-        waited_ms=attempt.sent_ms - exchange.queued_at_ms if attempt else 0,
-        load=attempt.placement.load if attempt else 0,
-        slots=attempt.state.target.slots if attempt else 0,
-        fingerprint=exchange.outgoing.fingerprint,
-    )
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -18,7 +18,8 @@
 )
 from waxwingshelf.serving.bodies import BodyTooLargeError, read_body
 from waxwingshelf.serving.dispatch_state import DispatchState
-from waxwingshelf.serving.dispatcher import Dispatcher, Exchange, choose_retry_after_ms
+from waxwingshelf.serving.dispatcher import Dispatcher
+from waxwingshelf.serving.exchange import Exchange, choose_retry_after_ms
 from waxwingshelf.serving.headers import (
     copy_end_to_end_headers,
     copy_request_headers,
--- a/tests/serving/test_quarantine.py
+++ b/tests/serving/test_quarantine.py
@@ -10,6 +10,8 @@
 
 from standins.platform_store import StoreFault
 from standins.platform_target import ResponseMode
+from tests.serving.conftest import CONFIG
+from tests.serving.target_links import Cut, TargetLinks, open_unresponsive_port
 from tests.serving.test_deadly_requests import (
     DEADLY_TEXT,
     STABILITY_WINDOW_S,
@@ -34,11 +36,12 @@
     }
 
 
-async def send_until_quarantined(deployment, names, path=DEADLY_PATH) -> None:
+async def send_until_quarantined(deployment, names, path=DEADLY_PATH, body=None) -> None:
+    method = "GET" if body is None else "POST"
     async with asyncio.timeout(WAIT_S):
         for number in range(1_000):
             name = names[number % len(names)]
-            response = await deployment.send_request(path, name)
+            response = await deployment.send_request(path, name, method, body=body)
             if response.body == b"quarantined\n":
                 return
             await asyncio.sleep(0.05)
@@ -97,6 +100,52 @@
     run_scenario(scenario)
 
 
+def test_streamed_request_is_quarantined_and_another_body_is_not(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 3)
+        limits = {"max_body_bytes": 5_000_000}
+        deployment.store.put("op/config", {**CONFIG, "version": "r2", "limits": limits})
+        await asyncio.sleep(0.5)
+        path, body = f"/sheet/{DEADLY_TEXT}", b"x" * 1_500_000
+        await send_until_quarantined(deployment, names, path, body)
+        await asyncio.sleep(0.3)
+        before = count_crashes(deployment)
+        for name in names:
+            response = await deployment.send_request(path, name, "POST", body=body)
+            assert (response.status, response.body) == (503, b"quarantined\n")
+        assert count_crashes(deployment) == before
+        other = await deployment.send_request(path, names[0], "POST", body=b"y" + body)
+        assert other.body != b"quarantined\n"
+
+    run_scenario(scenario)
+
+
+def test_request_sent_through_a_peer_is_quarantined(run_scenario) -> None:
+    """The instance that the callers use reaches no target; its peer sees the crashes."""
+
+    async def scenario(deployment) -> None:
+        with open_unresponsive_port() as port:
+            links = TargetLinks(port)
+            for number in range(4):
+                target = await deployment.add_target(f"t{number}")
+                target.deadly_text = DEADLY_TEXT
+                await links.add_target(target.port)
+            cut = await deployment.start_instance("n0", open_target_socket=links.open_socket)
+            await deployment.start_instance("n1")
+            for name in ("n0", "n1"):
+                await deployment.wait_until_ready(name)
+            await asyncio.sleep(0.6)
+            links.cut(Cut.RESET)
+            await deployment.wait_until(lambda: deployment.send_request("/read/fine", "n0"))
+            await deployment.wait_until(lambda: cut._prober.has_lost_links)
+            await send_until_quarantined(deployment, ["n0"])
+            await asyncio.sleep(0.3)
+            await assert_quarantined(deployment, ["n0", "n1"])
+            links.stop()
+
+    run_scenario(scenario)
+
+
 def test_second_deadly_request_is_stopped_while_the_store_is_silent(run_scenario) -> None:
     """The decision waited until the store had answered about the first one."""
 
