Serve routes of the kind download, and survive unknown kinds and figures

A fourth figure in Server-Load made the other three unread.

Ruled out: dropping the route, since its callers would get 404s for what the operators allow. Structurally invalid documents are still rejected whole, as the store accepts none and the earlier version remains in force.

Change: `download` is a kind whose requests may be repeated. A route of another unknown kind stays in force and its requests are never repeated; event config_value_unknown and metric waxwingshelf_config_unknown_values name it. The load report keeps its three figures whatever follows them; the fourth is the target's slowness at the moment, which nothing uses yet.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -18,6 +18,7 @@
     RouteRule,
     ServiceRule,
     SteeringConfig,
+    UnknownValue,
 )
 from waxwingshelf.steering.fleet import PeerAddress
 from waxwingshelf.steering.quarantine import Quarantine
@@ -42,6 +43,9 @@
 
 _DEFAULT_TIMEOUT_MS = 10_000
 _KNOWN_STATES = ("ready", "draining")
+_KNOWN_KINDS = frozenset(RouteKind)
+# Requests of a kind that this build does not know are never sent again.
+_UNKNOWN_KIND = RouteKind.UNSAFE
 _MS_PER_S = 1_000
 
 
@@ -148,18 +152,20 @@
     """Decode the operators' configuration; raise `DecodeError` if it is invalid."""
     try:
         document = _CONFIG_DECODER.decode(value)
+        rules = [(entry.host, rule) for entry in document.listeners for rule in entry.rules]
         return SteeringConfig(
             version=_parse_version(document.version),
             limits=_build_caller_limits(document.limits),
-            routes=tuple(
-                _build_route_rule(listener.host, rule)
-                for listener in document.listeners
-                for rule in listener.rules
-            ),
+            routes=tuple(_build_route_rule(host, rule) for host, rule in rules),
             services={entry.name: _build_service_rule(entry) for entry in document.clusters},
             organisations={
                 entry.name: _build_organisation_rule(entry) for entry in document.tenants or []
             },
+            unknown_values=tuple(
+                UnknownValue(f"rule {rule.name!r}: kind", rule.kind, _UNKNOWN_KIND.value)
+                for _, rule in rules
+                if rule.kind not in _KNOWN_KINDS
+            ),
         )
     except ValueError as error:
         raise DecodeError(str(error)) from None
@@ -286,7 +292,7 @@
         name=rule.name,
         host=host.lower(),
         prefix=rule.match.path_prefix,
-        kind=RouteKind(rule.kind),
+        kind=RouteKind(rule.kind) if rule.kind in _KNOWN_KINDS else _UNKNOWN_KIND,
         destinations=destinations,
         latency_objective_ms=int(rule.target_latency_ms or timeout_ms),
         timeout_ms=timeout_ms,
--- a/src/waxwingshelf/platform/target_responses.py
+++ b/src/waxwingshelf/platform/target_responses.py
@@ -31,11 +31,15 @@
 
 MISDIRECTED_REQUEST = 421
 _SERVICE_UNAVAILABLE = 503
+_USUAL_PERCENT = 100
 _MS_PER_S = 1_000
 # A longer pause is more likely a mistake than a plan; an operator can still remove the target.
 _MAX_PAUSE_MS = 600_000
 _MAX_LOGGED_CHARACTERS = 100
 _IDLE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})(?:$|[,;\s])", re.IGNORECASE)
+_LOAD = re.compile(
+    r"\s*(\d{1,9})\s*,\s*(\d{1,9})\s*,\s*(\d{1,9})\s*(?:$|,(?:\s*(\d{1,9})\s*(?:$|,))?)", re.ASCII
+)
 _log = structlog.get_logger("target_responses")
 
 
@@ -62,12 +66,16 @@
 
 
 def parse_load(text: str | None) -> Load | None:
-    """Parse "running,waiting,slots"; return None when it is missing or malformed."""
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    """Parse "running,waiting,slots[,percent]"; return None when it is missing or malformed.
+
+    The percentage is the time that work takes at the moment, 100 being usual. If it is malformed,
+    the other figures still hold. Further figures are ignored.
+    """
+    match = _LOAD.match(text or "")
+    if match is None:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return Load(running, waiting, slots)
+    percent = int(match[4]) if match[4] else 0
+    return Load(int(match[1]), int(match[2]), int(match[3]), percent / _USUAL_PERCENT or None)
 
 
 def parse_rate_limit(text: str | None, target_id: str) -> NamedLimit | None:
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -289,9 +289,11 @@
     async def _run_updates(self) -> None:
         while True:
             self._routing_state.expire_held()
-            if self._routing_state.config is not None:
-                self._metrics.config_version.set(self._routing_state.config.version)
-                self._apply_caller_limits(self._routing_state.config.limits)
+            config = self._routing_state.config
+            if config is not None:
+                self._metrics.config_version.set(config.version)
+                self._metrics.unknown_config_values.set(len(config.unknown_values))
+                self._apply_caller_limits(config.limits)
             self._metrics.store_restores.set(self._routing_state.store_restores)
             self._metrics.in_flight.set(self._request_handler.in_flight)
             silence_ms = self._target_contact.compute_silence_ms()
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -107,6 +107,11 @@
             "Version of the current configuration.",
             registry=registry,
         )
+        self.unknown_config_values = Gauge(
+            "waxwingshelf_config_unknown_values",
+            "Values of the current configuration that this build does not know.",
+            registry=registry,
+        )
         self.store_restores = Gauge(
             "waxwingshelf_store_restores",
             "Times the store came back from an older copy of its data since this process started.",
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import asdict
 
 import structlog
 
@@ -184,6 +185,8 @@
             routes=len(config.routes),
             organisations=len(config.organisations),
         )
+        for unknown in config.unknown_values:
+            _log.warning("config_value_unknown", version=config.version, **asdict(unknown))
 
     def _apply_member(self, name: str, value: bytes | None, unregistered_ms: int) -> None:
         if value is None:
--- a/src/waxwingshelf/steering/config.py
+++ b/src/waxwingshelf/steering/config.py
@@ -13,15 +13,23 @@
     "RouteRule",
     "ServiceRule",
     "SteeringConfig",
+    "UnknownValue",
 ]
 
 
 class RouteKind(StrEnum):
-    """The kind of a route's requests; only `SAFE` requests may run more than once."""
+    """The kind of a route's requests; those of `SAFE` and `DOWNLOAD` may run more than once.
+
+    `DOWNLOAD` requests have large responses.
+    """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+
+
+_IDEMPOTENT_KINDS = (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +65,7 @@
     @property
     def idempotent(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is RouteKind.SAFE
+        return self.kind in _IDEMPOTENT_KINDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +105,15 @@
     idle_timeout_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownValue:
+    """A value in the configuration that this build does not know, and what it does instead."""
+
+    location: str
+    value: str
+    handling: str
+
+
 @dataclass(frozen=True, slots=True)
 class SteeringConfig:
     """One version of the configuration, with lookup tables by host and by API key."""
@@ -106,6 +123,7 @@
     routes: tuple[RouteRule, ...]
     services: dict[str, ServiceRule]
     organisations: dict[str, OrganisationRule]
+    unknown_values: tuple[UnknownValue, ...] = ()
     routes_by_host: dict[str, dict[str, RouteRule]] = field(init=False)
     organisations_by_key: dict[str, OrganisationRule] = field(init=False)
 
--- a/src/waxwingshelf/steering/target_reports.py
+++ b/src/waxwingshelf/steering/target_reports.py
@@ -9,11 +9,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """The load that a target reported: its running and waiting requests, and its slots."""
+    """The load that a target reported: its running and waiting requests, and its slots.
+
+    `slowness` is how many times longer than usual work takes there at the moment; None if the
+    target does not tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -71,6 +71,28 @@
     assert config.limits.idle_timeout_ms == 9_000
 
 
+@pytest.mark.parametrize(
+    ("kind", "known", "idempotent"),
+    [
+        ("safe", True, True),
+        ("download", True, True),
+        ("unsafe", True, False),
+        ("upload", True, False),
+        ("later-kind", False, False),
+        ("SAFE", False, False),
+        ("", False, False),
+    ],
+)
+def test_unknown_kind_of_one_route_does_not_cost_the_configuration(kind, known, idempotent) -> None:
+    """An unknown kind must not leave instances without configuration, nor let requests repeat."""
+    rule = {**CONFIG["listeners"][0]["rules"][0], "kind": kind}
+    other = {**rule, "name": "other", "kind": "safe", "match": {"path_prefix": "/y/"}}
+    document = {**CONFIG, "listeners": [{"host": "a.example", "rules": [rule, other]}]}
+    config = decode_config(encode(document))
+    assert [route.idempotent for route in config.routes] == [idempotent, True]
+    assert [unknown.value for unknown in config.unknown_values] == ([] if known else [kind])
+
+
 @pytest.mark.parametrize(
     ("change", "location"),
     [
--- a/tests/platform/test_target_responses.py
+++ b/tests/platform/test_target_responses.py
@@ -74,7 +74,20 @@
 
 @pytest.mark.parametrize(
     ("text", "load"),
-    [("3,1,9", Load(3, 1, 9)), ("", None), (None, None), ("3,1", None), ("a,b,c", None)],
+    [
+        ("3,1,9", Load(3, 1, 9)),
+        ("", None),
+        (None, None),
+        ("3,1", None),
+        ("a,b,c", None),
+        ("2,0,3,140", Load(2, 0, 3, 1.4)),
+        # The figures that are known still count beside one that is not.
+        ("2,0,3,fast", Load(2, 0, 3)),
+        ("2,0,3,0", Load(2, 0, 3)),
+        ("2,0,\u00b2,100", None),
+        ("2,0,3,-5", Load(2, 0, 3)),
+        ("2,0,3,140,later", Load(2, 0, 3, 1.4)),
+    ],
 )
 def test_load_header_is_parsed_or_ignored(text, load) -> None:
     assert parse_load(text) == load
