--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -81,6 +81,8 @@
     number: int
     loads: dict[int, int]
     validity_ms: int = DEFAULT_VALIDITY_MS
+    slowness: dict[int, int] = msgspec.field(default_factory=dict)
+    organisations: dict[int, int] = msgspec.field(default_factory=dict)
 
 
 class ChangesMessage(msgspec.Struct, array_like=True):
@@ -133,7 +135,15 @@
 def encode_brief_load_report(report: LoadReport) -> bytes:
     """Encode a load report for an instance that knows the sender."""
     name_hash = hash_to_uint32(report.name)
-    brief = BriefLoadReport(name_hash, report.boot, report.number, report.loads, report.validity_ms)
+    brief = BriefLoadReport(
+        name_hash,
+        report.boot,
+        report.number,
+        report.loads,
+        report.validity_ms,
+        report.slowness,
+        report.organisations,
+    )
     return BRIEF_LOAD_REPORT_TYPE + msgspec.msgpack.encode(brief)
 
 
@@ -163,7 +173,15 @@
 
 def expand_load_report(brief: BriefLoadReport, address: PeerAddress) -> LoadReport:
     """Return the full form of a brief load report whose sender is known."""
-    return LoadReport(address.name, brief.boot, brief.number, brief.loads, brief.validity_ms)
+    return LoadReport(
+        address.name,
+        brief.boot,
+        brief.number,
+        brief.loads,
+        brief.validity_ms,
+        brief.slowness,
+        brief.organisations,
+    )
 
 
 # Each function decodes a datagram without its type byte, and raises `msgspec.DecodeError`.
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -95,7 +95,9 @@
 class LoadReport:
     """The numbers of requests that an instance has in flight, by hash of the target id.
 
-    The report counts for `validity_ms`; an earlier build does not tell.
+    The report counts for `validity_ms`; an earlier build does not tell. `slowness` is what targets
+    told of their speed, in percent by hash of the target id. `organisations` holds the requests in
+    flight by hash of the service and the organisation.
     """
 
     name: str
@@ -103,6 +105,8 @@
     number: int
     loads: dict[int, int]
     validity_ms: int = DEFAULT_VALIDITY_MS
+    slowness: dict[int, int] = field(default_factory=dict)
+    organisations: dict[int, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
