Keep connections to targets as long as the targets allow

Cause: idle connections were dropped after 4 s whatever the target's Keep-Alive said. Where 113 instances share 204 targets, each pair meets less often than that, and every second request opened a connection.

Ruled out: longer idle times for all requests. A target may drop an idle connection in silence, and a request that cannot be repeated is then lost; such requests still use only connections that were idle for less than 4 s.

Change: the pool keeps connections for 30 s; each connection knows for how long its target keeps it, and one that may be closed is not used.

--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -26,8 +26,6 @@
     "set_progress",
 ]
 
-# A request must reach a target before it closes the idle connection.
-_IDLE_MARGIN_MS = 500
 _MAX_SKIPPED_RESPONSES = 16
 _clock = SystemClock()
 
@@ -78,12 +76,12 @@
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         """Write the request, or raise `SendWithdrawnError` or `IdleConnectionError`."""
+        progress = _progress.get()
         protocol = conn.protocol
         if isinstance(protocol, BoundedResponseHandler):
-            if protocol.is_idle_too_long(_clock.now_ms()):
+            if protocol.is_idle_too_long(_clock.now_ms(), progress.is_idempotent):
                 raise IdleConnectionError
-            protocol.set_idle_until(None)
-        progress = _progress.get()
+            protocol.end_idle()
         if not progress.may_still_send():
             raise SendWithdrawnError
         if progress.deadline_ms is not None:
@@ -165,15 +163,13 @@
             return
         if self.connection is not None:
             self._set_in_body(self.connection, False)
-            self._set_idle_until(self.connection)
+            self._begin_idle(self.connection)
         super()._response_eof()
 
-    def _set_idle_until(self, connection: aiohttp.connector.Connection) -> None:
-        idle_timeout_ms = decode_idle_timeout(self.headers)
-        if idle_timeout_ms is None or not isinstance(connection.protocol, BoundedResponseHandler):
-            return
-        until_ms = _clock.now_ms() + idle_timeout_ms - _IDLE_MARGIN_MS
-        connection.protocol.set_idle_until(until_ms)
+    def _begin_idle(self, connection: aiohttp.connector.Connection) -> None:
+        if isinstance(connection.protocol, BoundedResponseHandler):
+            idle_timeout_ms = decode_idle_timeout(self.headers)
+            connection.protocol.begin_idle(_clock.now_ms(), idle_timeout_ms)
 
     def _set_in_body(self, connection: aiohttp.connector.Connection, in_body: bool) -> None:
         if isinstance(connection.protocol, BoundedResponseHandler):
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -19,6 +19,10 @@
 _MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 # Heads, interim responses and late responses to other requests, until the awaited head is read.
 _MAX_UNMATCHED_BYTES = 1024 * 1024
+# Shorter than the time after which targets that do not tell close idle connections.
+_DEFAULT_IDLE_TIMEOUT_MS = 4_000
+# A request must reach a target before it closes the idle connection.
+_IDLE_MARGIN_MS = 500
 # The bytes of that limit would hold some 40,000 interim responses, which take a second to handle.
 _MAX_UNMATCHED_HEADS = 64
 
@@ -33,15 +37,31 @@
     _unmatched_bytes = 0
     _unmatched_heads = 0
     _in_body = False
-    _idle_until_ms: int | None = None
-
-    def set_idle_until(self, idle_until_ms: int | None) -> None:
-        """Set until when the peer keeps the idle connection open, if it tells."""
-        self._idle_until_ms = idle_until_ms
-
-    def is_idle_too_long(self, now_ms: int) -> bool:
-        """Return whether the peer may be about to close the connection."""
-        return self._idle_until_ms is not None and now_ms >= self._idle_until_ms
+    _idle_since_ms: int | None = None
+    _idle_timeout_ms = _DEFAULT_IDLE_TIMEOUT_MS
+
+    def begin_idle(self, now_ms: int, idle_timeout_ms: int | None) -> None:
+        """Record that the connection is idle, and for how long its peer keeps it if it tells."""
+        self._idle_since_ms = now_ms
+        if idle_timeout_ms is not None:
+            self._idle_timeout_ms = idle_timeout_ms - _IDLE_MARGIN_MS
+
+    def end_idle(self) -> None:
+        """Record that a request uses the connection."""
+        self._idle_since_ms = None
+
+    def is_idle_too_long(self, now_ms: int, is_idempotent: bool) -> bool:
+        """Return whether the peer may have closed the connection, or be about to.
+
+        A peer may also drop an idle connection early and in silence, the more likely the longer it
+        is idle. A request that cannot be repeated would then be lost.
+        """
+        if self._idle_since_ms is None:
+            return False
+        timeout_ms = self._idle_timeout_ms
+        if not is_idempotent:
+            timeout_ms = min(timeout_ms, _DEFAULT_IDLE_TIMEOUT_MS)
+        return now_ms - self._idle_since_ms >= timeout_ms
 
     def set_in_body(self, in_body: bool) -> None:
         """Set whether the body of an awaited response is being read."""
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -66,8 +66,9 @@
     "classify_response",
 ]
 
-# Shorter than the time after which targets close idle connections.
-_KEEPALIVE_S = 4.0
+# The pool keeps idle connections for at most this long; those whose target may have closed them are
+# not used (see `BoundedResponseHandler.is_idle_too_long`).
+_MAX_KEEPALIVE_S = 30.0
 # A lost opening packet is sent again after a second; another target is asked before that.
 _CONNECT_TIMEOUT_S = 0.75
 _MS_PER_S = 1_000
@@ -261,7 +262,7 @@
 
 def _build_session(**options: Any) -> aiohttp.ClientSession:
     return build_session(
-        _KEEPALIVE_S,
+        _MAX_KEEPALIVE_S,
         response_class=MatchedResponse,
         request_class=CheckedRequest,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
