Send callers of download hosts to their own failure domain

Large responses went to callers through any instance of their region, so the bytes crossed failure domains, which is expensive.

Other hosts get the instances of the region, as before.

--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -181,6 +181,7 @@
             logs,
             settings.bounds.max_ttl_ms,
             self._relay,
+            self._routing_state,
         )
         self._servers: list[asyncio.Server] = []
         self._idle_timeout_s = _DEFAULT_KEEPALIVE_S
--- a/src/waxwingshelf/serving/internal_endpoints.py
+++ b/src/waxwingshelf/serving/internal_endpoints.py
@@ -14,8 +14,10 @@
 from waxwingshelf.serving.peers import STATE_PATH, PeerNetwork
 from waxwingshelf.serving.relay import RelayEndpoint
 from waxwingshelf.serving.relay_messages import RELAY_PATH
+from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.steering.directory import choose_addresses
 from waxwingshelf.steering.fleet import Fleet
+from waxwingshelf.steering.routes import has_download_route
 
 __all__ = ["InternalEndpoints"]
 
@@ -41,8 +43,10 @@
         logs: LogBuffer,
         max_ttl_ms: int,
         relay: RelayEndpoint,
+        routing_state: RoutingState,
     ) -> None:
         self._relay = relay
+        self._routing_state = routing_state
         self._peer_network = peer_network
         self._fleet = fleet
         self._clock = clock
@@ -77,7 +81,11 @@
         without_targets = self._fleet.list_without_targets()
         if not self._peer_network.reaches_targets():
             without_targets.add(self._peer_network.address.name)
-        addresses = choose_addresses(ready, without_targets, region, failure_domain)
+        config = self._routing_state.config
+        has_downloads = config is not None and has_download_route(
+            config, request.query.get("name", "")
+        )
+        addresses = choose_addresses(ready, without_targets, region, failure_domain, has_downloads)
         if not addresses:
             return web.Response(status=503)
         body = msgspec.json.encode(_Addresses(addresses, self._ttl_s))
--- a/src/waxwingshelf/steering/routes.py
+++ b/src/waxwingshelf/steering/routes.py
@@ -5,11 +5,12 @@
 from collections.abc import Iterator
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
-from waxwingshelf.steering.config import OrganisationRule, RouteRule, SteeringConfig
+from waxwingshelf.steering.config import OrganisationRule, RouteKind, RouteRule, SteeringConfig
 
 __all__ = [
     "choose_service",
     "find_route",
+    "has_download_route",
     "normalise_host",
     "resolve_allowed_regions",
     "resolve_priority",
@@ -38,6 +39,12 @@
     return None
 
 
+def has_download_route(config: SteeringConfig, host: str) -> bool:
+    """Return whether a host has a route of the kind `RouteKind.DOWNLOAD`."""
+    rules = config.routes_by_host.get(normalise_host(host), {})
+    return any(rule.kind is RouteKind.DOWNLOAD for rule in rules.values())
+
+
 def choose_service(route: RouteRule, request_id: str) -> str:
     """Return a service chosen in proportion to the weights, always the same for one request id."""
     if len(route.destinations) == 1:
