Keep large responses near

Downloads were ranked like small reads, so their bytes crossed failure domains, and a target in another region cost 40 ms whatever the size of the response.

Requests of download routes now give the targets of the instance's failure domain a higher weight, a power of two that follows from the slots alone. The estimated cost of targets in other failure domains and regions grows with the learned size of a route's responses, up to a quarter of its latency objective; responses up to 32 KiB cost nothing extra, and other routes rank as before.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -13,6 +13,7 @@
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.upstream import FailureKind, SendFailure, UpstreamResponse
 from waxwingshelf.steering.config import RouteRule
+from waxwingshelf.steering.distances import ResponseSize
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
@@ -25,6 +26,7 @@
 
 __all__ = ["Attempt", "DispatchState"]
 
+_SUCCESS_STATUSES = range(200, 300)
 _log = structlog.get_logger("dispatch_state")
 
 
@@ -65,6 +67,7 @@
         self._cold_limiter = ColdTargetLimiter(instance_name)
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._durations: dict[str, RouteDurations] = {}
+        self._response_sizes: dict[str, ResponseSize] = {}
         self._attempt_numbers = itertools.count()
         self.duration_average = DurationAverage()
         self.placer = Placer(locality, routing_state.targets)
@@ -93,6 +96,10 @@
             durations = self._durations[route.name] = RouteDurations(route.latency_objective_ms)
         return durations
 
+    def get_response_size(self, route: RouteRule) -> ResponseSize:
+        """Return the moving average of the size of a route's successful responses."""
+        return self._response_sizes.setdefault(route.name, ResponseSize())
+
     def try_acquire_send(self, state: TargetState, now_ms: int) -> bool:
         """Return whether the target may receive a request now.
 
@@ -170,6 +177,8 @@
             state.record_outcome(result.status >= 500, now_ms)
             self._record_duration(route, attempt, now_ms - attempt.sent_ms, now_ms)
             state.record_warm_object(object_key, now_ms)
+            if result.status in _SUCCESS_STATUSES:
+                self.get_response_size(route).record(len(result.body))
             return
         if result.links_lost or result.kind is FailureKind.UNREACHABLE:
             return
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -23,6 +23,7 @@
 from waxwingshelf.serving.send_results import FailureKind, SendFailure, UpstreamResponse
 from waxwingshelf.serving.target_sender import TargetSender
 from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
+from waxwingshelf.steering.config import RouteKind
 from waxwingshelf.steering.placement import PlacementRequest
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
@@ -262,6 +263,8 @@
             frozenset(exchange.excluded_targets),
             self._dispatch_state.get_durations(exchange.route),
             now_ms - exchange.queued_at_ms,
+            self._dispatch_state.get_response_size(exchange.route).mean_bytes,
+            exchange.route.kind is RouteKind.DOWNLOAD,
         )
         for placement in self._dispatch_state.placer.choose(request, now_ms):
             if self._dispatch_state.try_acquire_send(placement.state, now_ms):
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -349,7 +349,7 @@
 
 
 def _build_locality(settings: InstanceSettings) -> Locality:
-    return Locality(settings.region, settings.failure_domain, settings.regions)
+    return Locality(settings.region, settings.failure_domain, settings.regions, settings.link_mbps)
 
 
 def _build_server(handler: Handler, keepalive_s: float) -> web.Server:
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
+from waxwingshelf.steering.distances import compute_distance_ms, compute_domain_weight
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.scarcity import ScarceRegions
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
@@ -42,11 +43,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Locality:
-    """The location of this instance, and the region of each failure domain."""
+    """The location of this instance, its link, and the region of each failure domain.
+
+    `link_mbps` is 0 if it is not known.
+    """
 
     region: str
     failure_domain: str
     region_by_domain: dict[str, str]
+    link_mbps: float = 0.0
 
     def find_region(self, failure_domain: str) -> str:
         """Return the region of a failure domain, or an empty string if it is not known."""
@@ -58,7 +63,8 @@
     """The properties of a request that the choice of its target depends on.
 
     An empty `allowed_regions` allows all regions. `sticky` requests for one `object_key` are
-    limited to a few targets.
+    limited to a few targets. `response_bytes` is the usual size of the route's responses. A
+    `download` prefers the targets of the instance's failure domain.
     """
 
     service: str
@@ -69,6 +75,8 @@
     excluded_targets: frozenset[str]
     durations: RouteDurations
     waited_ms: int = 0
+    response_bytes: float = 0.0
+    download: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +103,7 @@
     def __init__(self, locality: Locality, registry: TargetRegistry) -> None:
         self._locality = locality
         self._registry = registry
-        self._cache: dict[tuple[str, str, bool], list[TargetState]] = {}
+        self._cache: dict[tuple[str, str, bool, bool], list[TargetState]] = {}
         self._cache_version = -1
         self._scarce_regions: dict[str, ScarceRegions] = {}
 
@@ -149,7 +157,7 @@
     def _list_candidates(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
         candidates: list[Placement] = []
         unbound = not request.allowed_regions
-        for state in self._rank(request.service, request.object_key, unbound):
+        for state in self._rank(request.service, request.object_key, unbound, request.download):
             if self._is_ineligible(state, request, now_ms):
                 continue
             candidates.append(self._estimate(state, len(candidates), request, now_ms))
@@ -177,23 +185,38 @@
         cost_ms = typical_ms * state.compute_slowness(now_ms, durations.warm_ms)
         if not self._is_local(state):
             cost_ms += _CROSS_REGION_COST_MS
+        cost_ms += self._compute_distance_ms(state, request)
         cost_ms += (
             state.compute_failure_rate(now_ms) * request.latency_objective_ms * _FAILURE_COST_FACTOR
         )
         # The rank is added so that targets of equal cost keep the order of the ranking.
         return Placement(state, rank, load, warm, typical_ms, cost_ms + rank)
 
-    def _rank(self, service: str, object_key: str, unbound: bool) -> list[TargetState]:
+    def _compute_distance_ms(self, state: TargetState, request: PlacementRequest) -> float:
+        if state.target.failure_domain == self._locality.failure_domain:
+            return 0.0
+        return compute_distance_ms(
+            request.response_bytes,
+            self._locality.link_mbps,
+            request.latency_objective_ms,
+            self._is_local(state),
+        )
+
+    def _rank(
+        self, service: str, object_key: str, unbound: bool, download: bool
+    ) -> list[TargetState]:
         if self._cache_version != self._registry.version or len(self._cache) > _MAX_CACHED_RANKINGS:
             self._cache.clear()
             self._cache_version = self._registry.version
-        key = (service, object_key, unbound)
+        key = (service, object_key, unbound, download)
         ranking = self._cache.get(key)
         if ranking is None:
             states = self._registry.list_usable(service)
             weights = self._compute_region_weights(service, states, unbound)
+            domain_weight = self._compute_domain_weight(states) if download else 1.0
             ranking = sorted(
-                states, key=lambda state: -self._compute_score(state, object_key, weights)
+                states,
+                key=lambda state: -self._compute_score(state, object_key, weights, domain_weight),
             )
             self._cache[key] = ranking
         return ranking
@@ -234,16 +257,31 @@
         # Rounded to a power of two, so that adding or removing a target moves only its own objects.
         return float(2 ** round(math.log2(weight)))
 
+    def _compute_domain_weight(self, states: list[TargetState]) -> float:
+        slots: dict[str, int] = {}
+        for state in states:
+            domain = state.target.failure_domain
+            slots[domain] = slots.get(domain, 0) + state.target.slots
+        return compute_domain_weight(
+            slots, self._locality.region_by_domain, self._locality.failure_domain
+        )
+
     def _is_local(self, state: TargetState) -> bool:
         region = self._locality.find_region(state.target.failure_domain)
         return region == self._locality.region
 
     def _compute_score(
-        self, state: TargetState, object_key: str, region_weights: dict[str, float]
+        self,
+        state: TargetState,
+        object_key: str,
+        region_weights: dict[str, float],
+        domain_weight: float,
     ) -> float:
         target = state.target
         region = self._locality.find_region(target.failure_domain)
         weight = target.slots * region_weights.get(region, 1.0)
+        if target.failure_domain == self._locality.failure_domain:
+            weight *= domain_weight
         return -weight / math.log(hash_to_unit_interval(target.service, object_key, target.id))
 
 
