--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -187,6 +187,7 @@
             logs,
             settings.bounds.max_ttl_ms,
             self._relay,
+            self._routing_state,
         )
         self._servers: list[asyncio.Server] = []
         self._idle_timeout_s = _DEFAULT_KEEPALIVE_S
@@ -354,7 +355,7 @@
 
 
 def _build_locality(settings: InstanceSettings) -> Locality:
-    return Locality(settings.region, settings.failure_domain, settings.regions)
+    return Locality(settings.region, settings.failure_domain, settings.regions, settings.link_mbps)
 
 
 def _build_server(handler: Handler, keepalive_s: float) -> web.Server:
