Bound the bytes of responses that an instance holds

Responses of 90 to 540 KB were read whole whatever callers did, up to 16 MB each and 48 MB together, and what a slow caller had not read yet was counted nowhere. With 200 slow readers an instance of 152 MB would hold 108 MB.

All responses that are read or written now share a quarter of memory_mb (48 MiB if the settings do not name it). Without room, nothing more is read from a target, and downloads wait in the queue. Bytes count until they have left the process; responses are therefore written by the handler, large ones in parts of 64 KiB. A caller that reads nothing for idle_timeout_ms is cut off. A target gets at most as many downloads at once as it has slots.

--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -54,7 +54,8 @@
 
     `seeds` are the `peer_state` endpoints of the peers to read from while no configuration is
     known, `peer_ports` the first and the last port for traffic between instances, and `regions` the
-    region of each failure domain.
+    region of each failure domain. `link_mbps` and `memory_mb` are limits of the machine, or 0 if
+    they are not known.
     """
 
     name: str
@@ -70,10 +71,12 @@
     regions: dict[str, str]
     bounds: Bounds = field(default_factory=Bounds)
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class _Limits(msgspec.Struct):
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class _Self(msgspec.Struct):
@@ -165,6 +168,7 @@
             rate_slack=bounds.quota_slack,
         ),
         link_mbps=file.self.limits.link_mbps,
+        memory_mb=file.self.limits.memory_mb,
     )
 
 
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -12,13 +12,14 @@
 from waxwingshelf.platform.settings import Bounds
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.upstream import FailureKind, SendFailure, UpstreamResponse
-from waxwingshelf.steering.config import RouteRule
+from waxwingshelf.steering.config import RouteKind, RouteRule
 from waxwingshelf.steering.distances import ResponseSize
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.load_reports import DurationAverage
 from waxwingshelf.steering.placement import Locality, Placement, Placer
+from waxwingshelf.steering.response_room import ResponseRoom
 from waxwingshelf.steering.target_limits import TargetRateShare
 from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import NamedLimit, TargetReport
@@ -26,17 +27,23 @@
 
 __all__ = ["Attempt", "DispatchState"]
 
+# Until a response of the route has arrived; downloads have up to about that many bytes.
+_INITIAL_DOWNLOAD_BYTES = 524_288
 _SUCCESS_STATUSES = range(200, 300)
 _log = structlog.get_logger("dispatch_state")
 
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One send of a request to a target, with the placement that chose the target."""
+    """One send of a request to a target, with the placement that chose the target.
+
+    `download_bytes` is the usual size of a download's response, or 0 if the request is none.
+    """
 
     placement: Placement
     number: int
     sent_ms: int
+    download_bytes: int = 0
 
     @property
     def state(self) -> TargetState:
@@ -58,7 +65,9 @@
         routing_state: RoutingState,
         fleet: Fleet,
         clock: Clock,
+        response_room: ResponseRoom,
     ) -> None:
+        self._response_room = response_room
         self._instance_name = instance_name
         self._bounds = bounds
         self._routing_state = routing_state
@@ -123,15 +132,33 @@
             state.target.id, max_sends_per_s, self._fleet.list_instance_names(), now_ms
         )
 
-    def start_attempt(self, placement: Placement) -> Attempt:
+    def estimate_download_bytes(self, route: RouteRule) -> int:
+        """Return the usual size of a route's responses if it is one of downloads, else 0."""
+        if route.kind is not RouteKind.DOWNLOAD:
+            return 0
+        size = self.get_response_size(route)
+        return max(1, int(size.mean_bytes)) if size.samples else _INITIAL_DOWNLOAD_BYTES
+
+    def has_room_for_download(self, download_bytes: int) -> bool:
+        """Return whether this instance has room for the response to a download."""
+        return self._response_room.has_room_for_download(download_bytes)
+
+    def start_attempt(self, placement: Placement, download_bytes: int = 0) -> Attempt:
         """Add a request to the target's in-flight requests."""
-        attempt = Attempt(placement, next(self._attempt_numbers), self._clock.now_ms())
+        number, sent_ms = next(self._attempt_numbers), self._clock.now_ms()
+        attempt = Attempt(placement, number, sent_ms, download_bytes)
         attempt.state.in_flight[attempt.number] = attempt.sent_ms
+        if download_bytes:
+            attempt.state.downloads += 1
+            self._response_room.expect(download_bytes)
         return attempt
 
     def finish_attempt(self, attempt: Attempt) -> None:
         """Remove a request from the target's in-flight requests."""
-        attempt.state.in_flight.pop(attempt.number, None)
+        is_in_flight = attempt.state.in_flight.pop(attempt.number, None) is not None
+        if is_in_flight and attempt.download_bytes:
+            attempt.state.downloads -= 1
+            self._response_room.stop_expecting(attempt.download_bytes)
 
     def record_report(self, attempt: Attempt, report: TargetReport) -> None:
         """Take over what the response to an attempt says of its target."""
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -23,7 +23,6 @@
 from waxwingshelf.serving.send_results import FailureKind, SendFailure, UpstreamResponse
 from waxwingshelf.serving.target_sender import TargetSender
 from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
-from waxwingshelf.steering.config import RouteKind
 from waxwingshelf.steering.placement import PlacementRequest
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
@@ -254,6 +253,9 @@
 
     def _place(self, exchange: Exchange) -> Attempt | None:
         now_ms = self._clock.now_ms()
+        download_bytes = self._dispatch_state.estimate_download_bytes(exchange.route)
+        if download_bytes and not self._dispatch_state.has_room_for_download(download_bytes):
+            return None
         request = PlacementRequest(
             exchange.service,
             exchange.object_key,
@@ -264,11 +266,11 @@
             self._dispatch_state.get_durations(exchange.route),
             now_ms - exchange.queued_at_ms,
             self._dispatch_state.get_response_size(exchange.route).mean_bytes,
-            exchange.route.kind is RouteKind.DOWNLOAD,
+            download_bytes > 0,
         )
         for placement in self._dispatch_state.placer.choose(request, now_ms):
             if self._dispatch_state.try_acquire_send(placement.state, now_ms):
-                return self._dispatch_state.start_attempt(placement)
+                return self._dispatch_state.start_attempt(placement, download_bytes)
         return None
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -38,6 +38,8 @@
 from waxwingshelf.serving.reachability_prober import ReachabilityProber
 from waxwingshelf.serving.relay import RelayEndpoint
 from waxwingshelf.serving.requests import RequestHandler
+from waxwingshelf.serving.response_buffer import ResponseBuffer
+from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.store_watcher import StoreWatcher
 from waxwingshelf.serving.target_connections import TargetContact
@@ -47,6 +49,7 @@
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.owners import OwnerReports
 from waxwingshelf.steering.placement import Locality
+from waxwingshelf.steering.response_room import ResponseRoom, compute_budget_bytes
 
 __all__ = ["Instance", "run_instance"]
 
@@ -105,13 +108,22 @@
             clock, self._fleet, owner_reports, settings.bounds.rate_slack
         )
         self._target_contact = TargetContact(clock, metrics)
-        self._upstream = UpstreamClient(self._target_contact, open_target_socket)
+        self._response_room = ResponseRoom(compute_budget_bytes(settings.memory_mb))
+        response_buffer = ResponseBuffer(self._response_room)
+        self._response_writer = ResponseWriter(clock, metrics)
+        self._upstream = UpstreamClient(self._target_contact, open_target_socket, response_buffer)
         self._peer_network = PeerNetwork(
             settings, self._fleet, self._routing_state, self._demand_tracker, clock, metrics
         )
         locality = _build_locality(settings)
         self._dispatch_state = dispatch_state = DispatchState(
-            settings.name, locality, settings.bounds, self._routing_state, self._fleet, clock
+            settings.name,
+            locality,
+            settings.bounds,
+            self._routing_state,
+            self._fleet,
+            clock,
+            self._response_room,
         )
         self._prober = ReachabilityProber(
             self._target_contact,
@@ -148,6 +160,8 @@
             self._routing_state.targets,
             clock,
             metrics,
+            response_buffer,
+            self._response_writer,
         )
         sender = TargetSender(self._upstream, self._prober, self._fleet, clock, metrics)
         durations = dispatch_state.duration_average
@@ -172,6 +186,8 @@
             clock,
             metrics,
             regions,
+            response_buffer,
+            self._response_writer,
         )
         self._internal_endpoints = InternalEndpoints(
             self._peer_network,
@@ -295,6 +311,8 @@
                 self._metrics.config_version.set(config.version)
                 self._metrics.unknown_config_values.set(len(config.unknown_values))
                 self._apply_caller_limits(config.limits)
+                self._response_writer.end_slow_readers(config.limits.idle_timeout_ms)
+            self._metrics.response_bytes_held.set(self._response_room.held_bytes)
             self._metrics.store_restores.set(self._routing_state.store_restores)
             self._metrics.in_flight.set(self._request_handler.in_flight)
             silence_ms = self._target_contact.compute_silence_ms()
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -92,6 +92,16 @@
             ["side", "result"],
             registry=registry,
         )
+        self.response_bytes_held = Gauge(
+            "waxwingshelf_response_bytes_held",
+            "Bytes of responses that are being read from targets or written to callers.",
+            registry=registry,
+        )
+        self.slow_readers = Counter(
+            "waxwingshelf_slow_readers",
+            "Connections closed because the caller read nothing of a response for too long.",
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "waxwingshelf_requests_in_flight",
             "Requests in progress.",
--- a/src/waxwingshelf/serving/relay.py
+++ b/src/waxwingshelf/serving/relay.py
@@ -20,6 +20,8 @@
     split_relay_path,
 )
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
+from waxwingshelf.serving.response_buffer import ResponseBuffer, ResponseHold
+from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.send_results import FailureKind, OutgoingRequest, SendFailure
 from waxwingshelf.serving.upstream import UpstreamClient, UpstreamResponse
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
@@ -42,7 +44,11 @@
         targets: TargetRegistry,
         clock: Clock,
         metrics: Metrics,
+        response_buffer: ResponseBuffer,
+        response_writer: ResponseWriter,
     ) -> None:
+        self._response_buffer = response_buffer
+        self._response_writer = response_writer
         self._upstream = upstream
         self._prober = prober
         self._dispatch_state = dispatch_state
@@ -52,22 +58,32 @@
         self.refusing_requests = False
         self.in_flight = 0
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
-        """Send a peer's request to its target, and return the target's response."""
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Send a peer's request to its target, and write the target's response."""
         self.in_flight += 1
+        hold = self._response_buffer.open_hold()
         try:
-            result = await self._send(request)
+            return await self._respond(request, hold)
         finally:
+            hold.release()
             self.in_flight -= 1
+
+    async def _respond(self, request: web.BaseRequest, hold: ResponseHold) -> web.StreamResponse:
+        result = await self._send(request, hold)
         if isinstance(result, SendFailure):
             self._metrics.relays.labels("served", result.kind.value).inc()
             return _build_failure_response(request, result)
         self._metrics.relays.labels("served", "response").inc()
         headers = copy_end_to_end_headers(result.headers)
         headers.popall(FAILURE_HEADER, None)
-        return web.Response(status=result.status, headers=headers, body=result.body)
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        return await self._response_writer.write(
+            request, request_id, result.status, headers, result.body
+        )
 
-    async def _send(self, request: web.BaseRequest) -> UpstreamResponse | SendFailure:
+    async def _send(
+        self, request: web.BaseRequest, hold: ResponseHold
+    ) -> UpstreamResponse | SendFailure:
         target_id, raw_path = split_relay_path(request.raw_path)
         if self.refusing_requests or not self._prober.may_send():
             detail = "stopping" if self.refusing_requests else "no target can be reached"
@@ -76,6 +92,7 @@
         if state is None:
             return SendFailure(FailureKind.WITHDRAWN, target_id, "the target is not in use")
         outgoing, timeout_ms = await self._build_request(request, raw_path)
+        outgoing.hold = hold
         result = await self._upstream.fetch(
             state.target,
             outgoing,
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -28,6 +28,8 @@
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.rate_limiter import Admission, RateLimiter
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
+from waxwingshelf.serving.response_buffer import ResponseBuffer, ResponseHold
+from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.upstream import OutgoingRequest, UpstreamResponse
 from waxwingshelf.steering.attempts import Attempts
@@ -69,7 +71,11 @@
         clock: Clock,
         metrics: Metrics,
         regions: frozenset[str],
+        response_buffer: ResponseBuffer,
+        response_writer: ResponseWriter,
     ) -> None:
+        self._response_buffer = response_buffer
+        self._response_writer = response_writer
         self._routing_state = routing_state
         self._dispatch_state = dispatch_state
         self._dispatcher = dispatcher
@@ -82,24 +88,30 @@
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Respond to a request with a target's response or with a refusal."""
+        """Respond to a request with a target's response or with a refusal.
+
+        A target's response is written here, so that its bytes are held until they have been sent.
+        """
         started_ms = self._clock.now_ms()
         self.in_flight += 1
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        hold = self._response_buffer.open_hold()
         result: UpstreamResponse | Refusal
         try:
-            result = await self._serve(request, request_id, started_ms)
-        except Exception:
-            _log.exception("request_crashed", request=request_id)
-            result = Refusal(RefusalReason.INTERNAL, Step.SEND, maybe_run=True)
+            try:
+                result = await self._serve(request, request_id, started_ms, hold)
+            except Exception:
+                _log.exception("request_crashed", request=request_id)
+                result = Refusal(RefusalReason.INTERNAL, Step.SEND, maybe_run=True)
+            if isinstance(result, UpstreamResponse):
+                return await self._write_response(request, request_id, result, started_ms)
         finally:
+            hold.release()
             self.in_flight -= 1
-        if isinstance(result, Refusal):
-            return self._build_refusal_response(result, request_id, started_ms)
-        return self._build_response(result, started_ms)
+        return self._build_refusal_response(result, request_id, started_ms)
 
     async def _serve(
-        self, request: web.BaseRequest, request_id: str, started_ms: int
+        self, request: web.BaseRequest, request_id: str, started_ms: int, hold: ResponseHold
     ) -> UpstreamResponse | Refusal:
         config = await self._wait_for_config()
         if config is None:
@@ -117,6 +129,7 @@
         if isinstance(organisation, Refusal):
             return organisation
         exchange = self._build_exchange(request, request_id, route, organisation, started_ms)
+        exchange.outgoing.hold = hold
         self._dispatch_state.record_request(exchange.service)
         admission = await self._admit(organisation)
         if isinstance(admission, Refusal):
@@ -205,18 +218,24 @@
             attempts=Attempts(route.idempotent, route.attempts),
         )
 
-    def _build_response(
-        self, upstream_response: UpstreamResponse, started_ms: int
+    async def _write_response(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        upstream_response: UpstreamResponse,
+        started_ms: int,
     ) -> web.StreamResponse:
         elapsed_ms = self._clock.now_ms() - started_ms
         self._metrics.requests.labels("target", str(upstream_response.status)).inc()
         self._metrics.durations.labels("target").observe(elapsed_ms / _MS_PER_S)
-        response = web.Response(
-            status=upstream_response.status,
-            headers=copy_end_to_end_headers(upstream_response.headers),
-            body=upstream_response.body,
+        return await self._response_writer.write(
+            request,
+            request_id,
+            upstream_response.status,
+            copy_end_to_end_headers(upstream_response.headers),
+            upstream_response.body,
+            closes_connection=self.closing_connections,
         )
-        return self._close_if_stopping(response)
 
     def _build_refusal_response(
         self, refusal: Refusal, request_id: str, started_ms: int
@@ -245,11 +264,6 @@
         response.force_close()
         return response
 
-    def _close_if_stopping(self, response: web.Response) -> web.Response:
-        if self.closing_connections:
-            response.force_close()
-        return response
-
 
 def _log_response(
     exchange: Exchange, upstream_response: UpstreamResponse, started_ms: int, now_ms: int
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -5,20 +5,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from contextlib import contextmanager
+import asyncio
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["BoundedResponseHandler", "ResponseBuffer", "ResponseLimitError"]
+from waxwingshelf.steering.response_room import ResponseRoom, compute_budget_bytes, is_large
+
+__all__ = ["BoundedResponseHandler", "ResponseBuffer", "ResponseHold", "ResponseLimitError"]
 
-_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Small machines have 200 MB, of which a process without load takes a fifth.
-_MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 # Heads, interim responses and late responses to other requests, until the awaited head is read.
 _MAX_UNMATCHED_BYTES = 1024 * 1024
+# For a body without a known length, bytes are held in parts of this size.
+_PART_BYTES = 65_536
 # The bytes of that limit would hold some 40,000 interim responses, which take a second to handle.
 _MAX_UNMATCHED_HEADS = 64
 
@@ -76,75 +77,148 @@
         self.set_exception(ResponseLimitError(f"{received} without the awaited response"))
 
 
+class ResponseHold:
+    """The held bytes of the responses to one request, until the last one has been written."""
+
+    __slots__ = ("_buffer", "_size")
+
+    def __init__(self, buffer: ResponseBuffer) -> None:
+        self._buffer = buffer
+        self._size = 0
+
+    def add(self, size: int) -> None:
+        """Take over bytes that are held."""
+        self._size += size
+
+    def release(self) -> None:
+        """Release all bytes."""
+        size, self._size = self._size, 0
+        self._buffer.release(size)
+
+
 class _BufferedBody:
-    """The part of one response's body that has been read."""
+    """The part of one response's body that has been read, and the number of bytes held for it.
 
-    __slots__ = ("chunks", "response", "size")
+    If the length is known, all bytes are held before the first one is read.
+    """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self.response = response
+    __slots__ = ("chunks", "held_bytes", "size")
+
+    def __init__(self) -> None:
         self.chunks: list[bytes] = []
         self.size = 0
+        self.held_bytes = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingRead:
+    """A body that waits for room for `size` more bytes."""
+
+    size: int
+    has_length: bool
+    granted: asyncio.Future[None]
 
 
 class ResponseBuffer:
-    """The bodies of all responses that are being read.
+    """The bodies of all responses that are being read, within the room for them.
 
-    If they exceed a maximum together, the largest one is given up: it is the most likely to have no
-    end.
+    While there is no room, nothing is read: the connections' flow control then stops the targets.
     """
 
-    def __init__(
-        self,
-        max_response_bytes: int = _MAX_RESPONSE_BYTES,
-        max_total_bytes: int = _MAX_BUFFERED_BYTES,
-    ) -> None:
-        self._max_response_bytes = max_response_bytes
-        self._max_total_bytes = max_total_bytes
-        self._bodies: set[_BufferedBody] = set()
-        self._total_bytes = 0
-
-    async def read(self, response: aiohttp.ClientResponse) -> bytes:
-        """Return a response's whole body; raise `ResponseLimitError` if it is too large."""
-        length = response.content_length
-        if length is not None and length > self._max_response_bytes:
-            raise ResponseLimitError(f"body of {length} bytes")
-        with self._open(response) as body:
-            while chunk := await response.content.readany():
-                self._add(body, chunk)
-            return b"".join(body.chunks)
-
-    @contextmanager
-    def _open(self, response: aiohttp.ClientResponse) -> Iterator[_BufferedBody]:
-        body = _BufferedBody(response)
-        self._bodies.add(body)
+    def __init__(self, room: ResponseRoom | None = None) -> None:
+        self._room = room or ResponseRoom(compute_budget_bytes(0))
+        # In the order in which they began to wait.
+        self._waiting: dict[_BufferedBody, _WaitingRead] = {}
+        # The only body without a known length that may use the room kept for such a one.
+        self._completing: _BufferedBody | None = None
+
+    def open_hold(self) -> ResponseHold:
+        """Return what holds the bytes of one request's responses until it is released."""
+        return ResponseHold(self)
+
+    async def read(
+        self, response: aiohttp.ClientResponse, hold: ResponseHold | None = None
+    ) -> bytes:
+        """Return a response's whole body; raise `ResponseLimitError` if it is too large.
+
+        `hold` takes over the bytes that were read; without it, they are released.
+        """
+        length = None if response.method == "HEAD" else response.content_length
+        if length is not None:
+            self._check_size(length)
+        body = _BufferedBody()
         try:
-            yield body
+            if length:
+                await self._hold(body, length, has_length=True)
+            while chunk := await self._read_part(body, response):
+                body.chunks.append(chunk)
+                body.size += len(chunk)
+                self._check_size(body.size)
+            if hold is not None:
+                hold.add(body.size)
+                body.held_bytes -= body.size
+            return b"".join(body.chunks)
         finally:
-            self._remove(body)
-
-    def _add(self, body: _BufferedBody, chunk: bytes) -> None:
-        if body not in self._bodies:
-            raise ResponseLimitError("too many bytes in responses in progress")
-        body.chunks.append(chunk)
-        body.size += len(chunk)
-        self._total_bytes += len(chunk)
-        if body.size > self._max_response_bytes:
-            raise ResponseLimitError(f"body of more than {self._max_response_bytes} bytes")
-        while self._total_bytes > self._max_total_bytes:
-            self._give_up(max(self._bodies, key=_get_size))
-
-    def _give_up(self, body: _BufferedBody) -> None:
-        self._remove(body)
-        detail = f"largest of the responses in progress, {body.size} bytes"
-        body.response.content.set_exception(ResponseLimitError(detail))
-
-    def _remove(self, body: _BufferedBody) -> None:
-        if body in self._bodies:
-            self._bodies.remove(body)
-            self._total_bytes -= body.size
+            if self._completing is body:
+                self._completing = None
+            # An error in progress may keep the body.
             body.chunks = []
-
-
-def _get_size(body: _BufferedBody) -> int:
-    return body.size
+            self.release(body.held_bytes)
+
+    def release(self, size: int) -> None:
+        """Release held bytes, and let waiting bodies use their room."""
+        self._room.release(size)
+        if self._waiting:
+            self._grant_waiting()
+
+    async def _read_part(self, body: _BufferedBody, response: aiohttp.ClientResponse) -> bytes:
+        """Return the next bytes, for which there is room; none at the end of the body."""
+        if body.size < body.held_bytes:
+            return await response.content.read(body.held_bytes - body.size)
+        if response.content.at_eof():
+            return b""
+        await self._hold(body, _PART_BYTES, has_length=False)
+        return await response.content.read(_PART_BYTES)
+
+    def _check_size(self, size: int) -> None:
+        if size > self._room.max_response_bytes:
+            detail = f"body of {size} bytes, more than {self._room.max_response_bytes}"
+            raise ResponseLimitError(detail)
+
+    async def _hold(self, body: _BufferedBody, size: int, has_length: bool) -> None:
+        """Hold bytes for a body, at once or when there is room for them."""
+        granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting[body] = _WaitingRead(size, has_length, granted)
+        try:
+            self._grant_waiting()
+            await granted
+        finally:
+            self._waiting.pop(body, None)
+
+    def _grant_waiting(self) -> None:
+        """Give room to the waiting bodies in their order; small ones may overtake large ones."""
+        is_blocked = False
+        for body, read in list(self._waiting.items()):
+            response_bytes = body.held_bytes + read.size
+            may_complete = not read.has_length and self._completing in (None, body)
+            if is_blocked and not may_complete and is_large(response_bytes):
+                continue
+            if self._try_hold(body, read, response_bytes, may_complete):
+                del self._waiting[body]
+                read.granted.set_result(None)
+            elif is_large(response_bytes):
+                is_blocked = True
+
+    def _try_hold(
+        self, body: _BufferedBody, read: _WaitingRead, response_bytes: int, may_complete: bool
+    ) -> bool:
+        if read.granted.done():
+            # The reader was cancelled and has not run since.
+            return False
+        is_held = self._room.try_hold(read.size, response_bytes)
+        if not is_held and may_complete:
+            self._completing = body
+            is_held = self._room.try_hold(read.size, response_bytes, may_complete=True)
+        if is_held:
+            body.held_bytes += read.size
+        return is_held
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from waxwingshelf.serving.bodies import StreamedBody
+from waxwingshelf.serving.response_buffer import ResponseHold
 
 __all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "UpstreamResponse"]
 
@@ -73,6 +74,7 @@
 
     The target is told how much time remains until `deadline_ms`, a clock reading, at the send.
     `fingerprint` is the same for all copies of a request; it is empty until the body is known.
+    `hold` takes over the bytes of the responses.
     """
 
     method: str
@@ -83,6 +85,7 @@
     deadline_ms: int | None = None
     idempotent: bool = False
     fingerprint: str = ""
+    hold: ResponseHold | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -94,13 +94,16 @@
     """Send requests to targets over pooled connections, directly or through a peer."""
 
     def __init__(
-        self, contact: TargetContact, open_socket: SocketFactory = open_client_socket
+        self,
+        contact: TargetContact,
+        open_socket: SocketFactory = open_client_socket,
+        buffer: ResponseBuffer | None = None,
     ) -> None:
         self._contact = contact
         self._open_socket = open_socket
         self._session: aiohttp.ClientSession | None = None
         self._peer_session: aiohttp.ClientSession | None = None
-        self._buffer = ResponseBuffer()
+        self._buffer = buffer or ResponseBuffer()
         # The sends in progress to targets with their timeouts, in the order in which they began.
         self._sends: dict[SendProgress, asyncio.Timeout] = {}
         self.result_handlers: list[ResultHandler] = []
@@ -221,7 +224,7 @@
                     )
                     if report is not None:
                         handle_report(report)
-                    body = await self._read_body(response)
+                    body = await self._read_body(response, request)
         except _BodyResetError:
             return SendFailure(
                 FailureKind.BROKEN, target.id, "connection reset while reading the body"
@@ -241,9 +244,9 @@
             return SendFailure(FailureKind.BROKEN, target.id, repr(error))
         return UpstreamResponse(target.id, response.status, response.headers, body)
 
-    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+    async def _read_body(self, response: aiohttp.ClientResponse, request: OutgoingRequest) -> bytes:
         try:
-            body = await self._buffer.read(response)
+            body = await self._buffer.read(response, request.hold)
         except BaseException:
             if isinstance(response, MatchedResponse):
                 response.reset()
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -146,7 +146,8 @@
         eligible = [
             candidate
             for candidate in candidates
-            if _has_capacity(candidate) and (candidate is first or candidate.cost_ms <= max_cost_ms)
+            if _has_capacity(candidate, request)
+            and (candidate is first or candidate.cost_ms <= max_cost_ms)
         ]
         eligible.sort(key=_get_cost)
         if limited is not None:
@@ -296,13 +297,19 @@
     for candidate in candidates:
         is_limited = candidate.state.rate_share is not None
         if is_limited and candidate.cost_ms <= request.latency_objective_ms:
-            return candidate if _has_capacity(candidate) else None
+            return candidate if _has_capacity(candidate, request) else None
     return None
 
 
-def _has_capacity(candidate: Placement) -> bool:
-    """Return whether the target has capacity; a cold run may only use otherwise idle slots."""
+def _has_capacity(candidate: Placement, request: PlacementRequest) -> bool:
+    """Return whether the target has capacity; a cold run may only use otherwise idle slots.
+
+    A target gets at most as many downloads from an instance at once as it has slots, since it holds
+    their responses until these have been read.
+    """
     slots = candidate.state.target.slots
+    if request.download and candidate.state.downloads >= slots:
+        return False
     if candidate.warm:
         return candidate.load < slots * (1.0 + _MAX_QUEUE_FRACTION)
     return candidate.load < slots * _MAX_COLD_FILL
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -76,6 +76,7 @@
     `in_flight` maps the number of each attempt to its send time, `warm_objects` the key of each
     object to the time at which the target last handled it; the oldest entries come first.
     `rate_share` is this instance's share of the rate limit that the target names, if it names one.
+    `downloads` is the number of this instance's downloads in flight there.
     `leaving` is set once a response has said that the target's run will end. `pause` is what a
     response asked for and no later one has ended. Times are readings of the instance's clock.
     """
@@ -96,6 +97,7 @@
     rate_share: TargetRateShare | None = None
     leaving: bool = False
     pause: TargetPause | None = None
+    downloads: int = 0
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the target is limited to its cold rate."""
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -51,6 +51,8 @@
 
     Responses name `idle_timeout_s` if it is set, but connections stay open.
 
+    Response bodies are filled up to `body_bytes` for paths that contain `large_path`.
+
     `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
     caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
     and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
@@ -64,6 +66,8 @@
         self.id = target_id
         self.work_s = work_s
         self.limit_per_s: float | None = None
+        self.body_bytes = 0
+        self.large_path = ""
         self.leaving = False
         self.pause_s: float | None = None
         self.idle_timeout_s: int | None = None
@@ -167,7 +171,7 @@
             disconnect_read.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await disconnect_read
-        return await self._send_response(writer, request_id)
+        return await self._send_response(writer, request_id, request_line)
 
     def _list_own_headers(self) -> list[str]:
         """Return the headers in which the target tells of itself."""
@@ -180,13 +184,17 @@
             headers.append("Server-Leaving: 1")
         return headers
 
-    async def _send_response(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
+    async def _send_response(
+        self, writer: asyncio.StreamWriter, request_id: str, request_line: str
+    ) -> bool:
         own_headers = self._list_own_headers()
         signed_headers = ["Server-Signature: ok", "Server-Load: 1,0,4", *own_headers]
         if self.response_mode in _ENDLESS_PARTS:
             await _send_endless(writer, request_id, self.response_mode)
             return False
         body = f"answer to {request_id}".encode()
+        if self.large_path in request_line:
+            body = body.ljust(self.body_bytes, b".")
         await self._send_foreign(writer)
         response = _build_response(200, request_id, body, signed_headers)
         self._last_responses[writer] = response
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -11,6 +11,9 @@
 region = "north"
 serves = ["frontend"]
 later_field = 3
+[self.limits]
+memory_mb = 152
+link_mbps = 5.5
 [network]
 internal_ports = [7740, 7755]
 seed_nodes = ["10.1.0.35:8688"]
@@ -38,6 +41,16 @@
     assert settings.store == Endpoint("10.200.1.7", 8682)
     assert settings.regions == {"north-1": "north"}
     assert settings.bounds.grace_period_ms == 6_000
+    assert settings.memory_mb == 152
+    assert settings.link_mbps == 5.5
+
+
+def test_limits_of_the_machine_may_be_missing(tmp_path) -> None:
+    """Settings of platforms that tell no limits must still load."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS_TEXT.replace("[self.limits]", "[self.later_table]"))
+    settings = load_settings(path)
+    assert (settings.memory_mb, settings.link_mbps) == (0, 0)
 
 
 @pytest.mark.parametrize(
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -118,6 +118,7 @@
         grace_period_ms: int = 4_000,
         failure_domain: str = "north-1",
         open_target_socket: SocketFactory = open_client_socket,
+        memory_mb: float = 0.0,
     ) -> Instance:
         ports = self._allocate_ports(6)
         settings = InstanceSettings(
@@ -133,6 +134,7 @@
             peer_ports=(ports[4], ports[5]),
             regions=REGIONS,
             bounds=Bounds(grace_period_ms=grace_period_ms),
+            memory_mb=memory_mb,
         )
         self.settings[name] = settings
         instance = Instance(
