--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -80,18 +80,23 @@
 class ResponseHold:
     """The held bytes of the responses to one request, until the last one has been written."""
 
-    __slots__ = ("_buffer", "_size")
+    __slots__ = ("_buffer", "_released", "_size")
 
     def __init__(self, buffer: ResponseBuffer) -> None:
         self._buffer = buffer
         self._size = 0
+        self._released = False
 
     def add(self, size: int) -> None:
-        """Take over bytes that are held."""
-        self._size += size
+        """Take over bytes that are held; those that come after the end are released at once."""
+        if self._released:
+            self._buffer.release(size)
+        else:
+            self._size += size
 
     def release(self) -> None:
-        """Release all bytes."""
+        """Release all bytes, as the request has ended."""
+        self._released = True
         size, self._size = self._size, 0
         self._buffer.release(size)
 
@@ -187,6 +192,10 @@
 
     async def _hold(self, body: _BufferedBody, size: int, has_length: bool) -> None:
         """Hold bytes for a body, at once or when there is room for them."""
+        response_bytes = body.held_bytes + size
+        if not self._waiting and self._room.try_hold(size, response_bytes):
+            body.held_bytes = response_bytes
+            return
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting[body] = _WaitingRead(size, has_length, granted)
         try:
--- a/src/waxwingshelf/steering/distances.py
+++ b/src/waxwingshelf/steering/distances.py
@@ -68,11 +68,13 @@
     It assumes that callers are spread equally over the failure domains. It depends only on the
     slots, so that steps of the regions' weights act on downloads as on other requests.
     """
-    own_region = region_by_domain.get(own_domain, "")
+    own_region = region_by_domain.get(own_domain)
+    if own_region is None:
+        return 1.0
     region_slots = sum(
         slots
         for domain, slots in slots_by_domain.items()
-        if region_by_domain.get(domain, "") == own_region
+        if region_by_domain.get(domain) == own_region
     )
     total_slots = sum(slots_by_domain.values())
     own_slots = slots_by_domain.get(own_domain, 0)
--- a/tests/serving/test_slow_readers.py
+++ b/tests/serving/test_slow_readers.py
@@ -3,12 +3,16 @@
 import asyncio
 import contextlib
 import copy
+import json
 import socket
 
 import pytest
 
-from tests.serving.conftest import CONFIG
+from tests.serving.conftest import CONFIG, HOST
 from waxwingshelf.serving.instance import Instance
+from waxwingshelf.serving.response_buffer import ResponseBuffer, ResponseLimitError
+from waxwingshelf.steering.fleet import Heartbeat, PeerAddress
+from waxwingshelf.steering.response_room import ResponseRoom
 
 MEMORY_MB = 152
 BUDGET_BYTES = MEMORY_MB * 1_000_000 // 4
@@ -99,6 +103,17 @@
     return deployment.instances["n0"]._response_room
 
 
+def add_peers(deployment, counts: dict[str, int]) -> None:
+    """Let the instance know ready peers, given by failure domain of its region."""
+    instance = deployment.instances["n0"]
+    for domain, count in counts.items():
+        for number in range(count):
+            name = f"{domain}.{number}"
+            address = PeerAddress(name, "north", domain, HOST, 1, 2, name)
+            heartbeat = Heartbeat(address, 1, 1, True, 1, {}, reaches_targets=True)
+            instance._fleet.record_heartbeat(heartbeat, instance._clock.now_ms())
+
+
 async def start_readers(deployment, count: int) -> list[SlowReader]:
     readers = [SlowReader(number) for number in range(count)]
     await asyncio.gather(*(reader.send(deployment) for reader in readers))
@@ -234,3 +249,105 @@
         assert get_room(deployment).held_bytes == 0
 
     run_scenario(scenario)
+
+
+class FakeBody:
+    """A response whose body arrives in parts; no length is known if `length` is None."""
+
+    method = "GET"
+
+    def __init__(self, size: int, length: int | None) -> None:
+        self.content = self
+        self.content_length = length
+        self.unread = size
+
+    def at_eof(self) -> bool:
+        return self.unread == 0
+
+    async def read(self, max_size: int) -> bytes:
+        await asyncio.sleep(0)
+        size = min(self.unread, max_size, 10_000)
+        self.unread -= size
+        return b"x" * size
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+def test_responses_share_the_room_and_all_are_completed(has_length) -> None:
+    """Responses that have each been read in part must not wait for each other for ever."""
+
+    async def main() -> None:
+        room = ResponseRoom(4_000_000)
+        buffer = ResponseBuffer(room)
+        peak = 0
+
+        async def read() -> int:
+            nonlocal peak
+            hold = buffer.open_hold()
+            body = await buffer.read(FakeBody(600_000, 600_000 if has_length else None), hold)
+            peak = max(peak, room.held_bytes)
+            await asyncio.sleep(0.01)
+            hold.release()
+            return len(body)
+
+        async with asyncio.timeout(20):
+            sizes = await asyncio.gather(*(read() for _ in range(30)))
+        assert set(sizes) == {600_000}
+        assert 600_000 <= peak <= room.budget_bytes
+        assert room.held_bytes == 0
+
+    asyncio.run(main())
+
+
+def test_cancelled_and_failed_reads_release_their_bytes() -> None:
+    async def main() -> None:
+        room = ResponseRoom(4_000_000)
+        buffer = ResponseBuffer(room)
+        reads = [
+            asyncio.create_task(buffer.read(FakeBody(600_000, length), buffer.open_hold()))
+            for length in (600_000, None) * 10
+        ]
+        await asyncio.sleep(0.001)
+        assert room.held_bytes > 0
+        for read in reads:
+            read.cancel()
+        await asyncio.gather(*reads, return_exceptions=True)
+        hold = buffer.open_hold()
+        hold.release()
+        # A response that arrives after its request has ended.
+        await buffer.read(FakeBody(1_000, 1_000), hold)
+        for length in (room.max_response_bytes + 1, None):
+            with pytest.raises(ResponseLimitError):
+                await buffer.read(FakeBody(room.max_response_bytes + 1, length))
+        # Of the responses that were read whole, nothing is known to release but by their holds.
+        assert room.held_bytes == sum(
+            600_000 for read in reads if not read.cancelled() and read.exception() is None
+        )
+
+    asyncio.run(main())
+
+
+def test_directory_keeps_callers_of_download_hosts_in_their_failure_domain(run_scenario) -> None:
+    """The host is the query's `name`; a host without downloads is shared by the region."""
+
+    async def scenario(deployment) -> None:
+        config = build_config()
+        reads = [rule for rule in config["listeners"][0]["rules"] if rule["kind"] != "download"]
+        config["listeners"].append({"host": "b.example", "rules": reads[:1]})
+        deployment.store.put("op/config", config)
+        await deployment.start_instance("n0")
+        await deployment.wait_until_ready("n0")
+        directory = deployment.settings["n0"].directory
+
+        async def count_addresses(host: str) -> int:
+            query = f"/api/resolve?name={host}&region=north&zone=north-1"
+            status, body = await deployment.fetch(directory, query)
+            assert status == 200
+            return len(json.loads(body)["addresses"])
+
+        add_peers(deployment, {"north-1": 2, "north-2": 2})
+        assert await count_addresses("a.example") == 5
+        add_peers(deployment, {"north-1": 3, "north-2": 2})
+        assert await count_addresses("a.example") == 4
+        assert await count_addresses("b.example") == 6
+
+    run_scenario(scenario)
--- a/tests/steering/test_distances.py
+++ b/tests/steering/test_distances.py
@@ -167,6 +167,13 @@
     assert compute_domain_weight(slots, REGIONS, "north-1") == 1.0
 
 
+def test_failure_domain_that_the_settings_do_not_name_has_no_weight() -> None:
+    """A file of settings that lacks it must not make each download fail."""
+    slots = {"other-1": 6, "other-2": 6, "north-1": 6}
+    assert compute_domain_weight(slots, REGIONS, "other-1") == 1.0
+    assert compute_domain_weight(slots, {}, "north-1") == 1.0
+
+
 def test_domain_weight_keeps_its_bounds_for_all_combinations_of_slots() -> None:
     for own, sibling, rest in itertools.product((1, 2, 5, 20, 100), repeat=3):
         slots = {"north-1": own, "north-2": sibling, "south-1": rest, "east-2": rest}
