--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -83,6 +83,7 @@
     `in_flight` maps the number of each attempt to its send time, `warm_objects` the key of each
     object to the time at which the target last handled it; the oldest entries come first.
     `rate_share` is this instance's share of the rate limit that the target names, if it names one.
+    `downloads` is the number of this instance's downloads in flight there.
     `leaving` is set once a response has said that the target's run will end. `pause` is what a
     response asked for and no later one has ended. Peers' reports of its speed count from
     `peer_speed_from_ms`. Times are readings of the instance's clock.
@@ -106,6 +107,7 @@
     pause: TargetPause | None = None
     speed: TargetSpeed = field(default_factory=TargetSpeed)
     peer_speed_from_ms: int = 0
+    downloads: int = 0
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the target is limited to its cold rate."""
