Order waiting requests by the route's priority where organisations are equal

Many deployments give all organisations the same priority, which overrides the route's. Waiting requests were then ordered by arrival alone, and long reads went before urgent downloads.

The route's own priority is now the key after the priority. tests/steering/test_waiting.py: 9 passed; the new test covers an organisation's priority, the route's priority and the arrival.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -148,6 +148,7 @@
             exchange.latency_objective_at_ms - int(durations.warm_ms),
             exchange.deadline_ms - int(durations.warm_ms),
             exchange.allowed_regions,
+            route_priority=exchange.route.priority,
         )
         queue.add(waiter)
         self._has_waiting.set()
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -33,7 +33,8 @@
 class Waiter(Generic[_T]):
     """A waiting request; times are clock readings.
 
-    A request sent before `late_from_ms` can still meet its latency objective, and a request sent by
+    `priority` is the organisation's if it has one, and `route_priority` always the route's. A
+    request sent before `late_from_ms` can still meet its latency objective, and a request sent by
     `latest_send_ms` its deadline. Requests of the same `group` compete for the same targets. For an
     expired request, `expected_wait_ms` is the estimated wait for capacity.
     """
@@ -45,6 +46,7 @@
     group: Hashable = None
     expected_wait_ms: int = 0
     sequence: int = field(default=0)
+    route_priority: int = 0
 
 
 class WaitQueue(Generic[_T]):
@@ -126,8 +128,17 @@
                 self.record_placement(waiter.group, now_ms >= waiter.late_from_ms, now_ms)
 
     def list_in_send_order(self, now_ms: int) -> list[Waiter[_T]]:
-        """Return the requests in send order: not late first, then by priority, then by arrival."""
+        """Return the requests in send order.
+
+        Those that are not late go first, then the priority decides, then the route's own priority,
+        and then the arrival.
+        """
         return sorted(
             self._waiters.values(),
-            key=lambda waiter: (now_ms >= waiter.late_from_ms, waiter.priority, waiter.sequence),
+            key=lambda waiter: (
+                now_ms >= waiter.late_from_ms,
+                waiter.priority,
+                waiter.route_priority,
+                waiter.sequence,
+            ),
         )
--- a/tests/steering/test_waiting.py
+++ b/tests/steering/test_waiting.py
@@ -26,6 +26,15 @@
     assert not queue
 
 
+def test_route_priority_decides_between_equal_priorities() -> None:
+    """An organisation's priority hid the route's, so long reads went before urgent downloads."""
+    queue: WaitQueue[str] = WaitQueue()
+    queue.add(Waiter("read", 1, 500, 2_000, route_priority=2))
+    queue.add(Waiter("urgent download", 1, 500, 2_000, route_priority=0))
+    queue.add(Waiter("read of a preferred organisation", 0, 500, 2_000, route_priority=2))
+    assert place_all(queue, 0) == ["read of a preferred organisation", "urgent download", "read"]
+
+
 def test_request_past_latest_send_time_expires() -> None:
     queue: WaitQueue[str] = WaitQueue()
     queue.add(make_waiter("over", latest_send_ms=100))
