Share capacity fairly between organisations, and leave headroom for urgent routes

Cause: requests of equal urgency waited in order of arrival, so an organisation that sent many times its usual load got most slots. A new request took a slot for which others waited. Long reads filled all slots before urgent downloads. Callers refused in one burst were told about the same time to come back. Each round of placement sorted the queue and tried every request.

Change: waiting requests of equal lateness and priorities go in the order of their organisations' usage relative to their weights, which instances learn from each other's load reports (steering/fair_order.py). A new request joins the queue where others precede it. One round tries a bounded number of requests; groups of regions and warm objects do not block each other. Refused callers of a kind are told times that follow each other at the rate of its placements (steering/wait_estimates.py). A waiting request whose caller has just left is no longer placed, which kept an attempt in flight for ever.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -14,6 +14,7 @@
 from waxwingshelf.serving.upstream import FailureKind, SendFailure, UpstreamResponse
 from waxwingshelf.steering.config import RouteRule
 from waxwingshelf.steering.durations import RouteDurations
+from waxwingshelf.steering.fair_order import OrganisationLoads
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.load_reports import DurationAverage
@@ -35,6 +36,7 @@
     placement: Placement
     number: int
     sent_ms: int
+    organisation: str = ""
 
     @property
     def state(self) -> TargetState:
@@ -67,6 +69,7 @@
         self._durations: dict[str, RouteDurations] = {}
         self._attempt_numbers = itertools.count()
         self.duration_average = DurationAverage()
+        self.organisation_loads = OrganisationLoads()
         self.placer = Placer(locality, routing_state.targets)
 
     def apply_settings(self, locality: Locality, bounds: Bounds) -> None:
@@ -116,15 +119,20 @@
             state.target.id, max_sends_per_s, self._fleet.list_instance_names(), now_ms
         )
 
-    def start_attempt(self, placement: Placement) -> Attempt:
-        """Add a request to the target's in-flight requests."""
-        attempt = Attempt(placement, next(self._attempt_numbers), self._clock.now_ms())
+    def start_attempt(self, placement: Placement, organisation: str = "") -> Attempt:
+        """Add a request to the in-flight requests of the target and of the organisation."""
+        number, now_ms = next(self._attempt_numbers), self._clock.now_ms()
+        attempt = Attempt(placement, number, now_ms, organisation)
         attempt.state.in_flight[attempt.number] = attempt.sent_ms
+        self.organisation_loads.start(attempt.state.target.service, organisation, now_ms)
         return attempt
 
     def finish_attempt(self, attempt: Attempt) -> None:
-        """Remove a request from the target's in-flight requests."""
-        attempt.state.in_flight.pop(attempt.number, None)
+        """Remove a request from the in-flight requests."""
+        if attempt.state.in_flight.pop(attempt.number, None) is not None:
+            self.organisation_loads.finish(
+                attempt.state.target.service, attempt.organisation, self._clock.now_ms()
+            )
 
     def record_report(self, attempt: Attempt, report: TargetReport) -> None:
         """Take over what the response to an attempt says of its target."""
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -30,7 +31,12 @@
 __all__ = ["Dispatcher", "Trials"]
 
 _MIN_FAILURE_STATUS = 500
+_MS_PER_S = 1_000
 _QUEUE_POLL_INTERVAL_S = 0.02
+# A round of placement costs up to a few hundred microseconds if many requests wait. Then, rounds
+# for new requests, which may not overtake waiting ones, and for ended ones have this distance.
+_MIN_ROUND_DISTANCE_MS = 5
+_MAX_CHEAP_WAITING = 8
 _OUTCOMES = {
     FailureKind.NOT_CONNECTED: AttemptOutcome.NOT_CONNECTED,
     FailureKind.UNREACHABLE: AttemptOutcome.UNREACHABLE,
@@ -84,6 +90,9 @@
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
+        self._served_at_ms: dict[str, int] = {}
+        # Services whose queue will be served after the minimum distance of rounds.
+        self._scheduled_services: set[str] = set()
         # The versions of what decides whether the waiting requests of a service can be placed, when
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
@@ -98,7 +107,7 @@
             await self._has_waiting.wait()
             await asyncio.sleep(_QUEUE_POLL_INTERVAL_S)
             for service in list(self._queues):
-                self._serve_queue(service)
+                self._serve_queue(service, expire=True)
             if not any(self._queues.values()):
                 self._has_waiting.clear()
 
@@ -129,42 +138,85 @@
                 return final_result
 
     async def _wait_for_placement(self, exchange: Exchange) -> Attempt | Refusal:
-        queue = self._queues.setdefault(exchange.service, WaitQueue())
-        exchange.queued_at_ms = self._clock.now_ms()
+        queue = self._get_queue(exchange.service)
+        exchange.queued_at_ms = now_ms = self._clock.now_ms()
         unplaceable = self._find_why_unplaceable(exchange)
         if unplaceable is not None:
             return _refuse_placement(exchange, unplaceable)
+        waiter = self._build_waiter(exchange)
         if queue.is_full():
-            return refuse(exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full")
-        attempt = self._place(exchange)
-        if attempt is not None:
-            queue.record_placement(exchange.allowed_regions, False, exchange.queued_at_ms)
-            return attempt
-        durations = self._dispatch_state.get_durations(exchange.route)
-        future: asyncio.Future[Attempt | _NoPlacement] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(
-            (exchange, future),
-            exchange.priority,
-            exchange.latency_objective_at_ms - int(durations.warm_ms),
-            exchange.deadline_ms - int(durations.warm_ms),
-            exchange.allowed_regions,
-            route_priority=exchange.route.priority,
-        )
+            retry_after_ms = choose_retry_after_ms(queue.announce_return(waiter, now_ms))
+            self._record_order(waiter)
+            return refuse(
+                exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full", retry_after_ms
+            )
+        has_preceding = queue.has_preceding(waiter, now_ms)
+        if not has_preceding:
+            attempt = self._place(exchange, queue.needs_headroom(waiter, now_ms))
+            if attempt is not None:
+                queue.record_placement(waiter, now_ms)
+                return attempt
         queue.add(waiter)
         self._has_waiting.set()
+        if has_preceding:
+            self._serve_soon(exchange.service)
+        return await self._wait(queue, waiter)
+
+    async def _wait(
+        self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
+    ) -> Attempt | Refusal:
+        exchange, future = waiter.item
         try:
             result = await future
         except asyncio.CancelledError:
             queue.remove(waiter)
+            self._metrics.organisation_waits.labels("left").inc()
             if future.done() and not future.cancelled():
                 placed = future.result()
                 if isinstance(placed, Attempt):
                     self._dispatch_state.finish_attempt(placed)
             raise
         if isinstance(result, _NoPlacement):
+            is_refused = result.reason is RefusalReason.NO_ROOM
+            self._metrics.organisation_waits.labels(
+                "refused" if is_refused else "unplaceable"
+            ).inc()
             return _refuse_placement(exchange, result)
+        self._metrics.organisation_waits.labels("placed").inc()
         return result
 
+    def _get_queue(self, service: str) -> WaitQueue[_QueuedRequest]:
+        queue = self._queues.get(service)
+        if queue is None:
+            loads = self._dispatch_state.organisation_loads
+            compute_usage = functools.partial(loads.compute_usage, service)
+            queue = self._queues[service] = WaitQueue(compute_usage=compute_usage)
+        return queue
+
+    def _build_waiter(self, exchange: Exchange) -> Waiter[_QueuedRequest]:
+        warm_ms = int(self._dispatch_state.get_durations(exchange.route).warm_ms)
+        has_choice = exchange.route.sticky and not exchange.excluded_targets
+        return Waiter(
+            (exchange, asyncio.get_running_loop().create_future()),
+            exchange.priority,
+            exchange.latency_objective_at_ms - warm_ms,
+            exchange.deadline_ms - warm_ms,
+            exchange.allowed_regions,
+            route_priority=exchange.route.priority,
+            organisation=exchange.organisation,
+            weight=exchange.weight,
+            choice=(exchange.object_key, exchange.priority) if has_choice else None,
+        )
+
+    def _record_order(self, waiter: Waiter[_QueuedRequest]) -> None:
+        """Record the position in the queue and the share of a request that is refused."""
+        exchange = waiter.item[0]
+        usage = self._dispatch_state.organisation_loads.compute_usage(
+            exchange.service, exchange.organisation, self._clock.now_ms()
+        )
+        exchange.position = waiter.position
+        exchange.share = usage / exchange.weight
+
     def _find_why_unplaceable(self, exchange: Exchange) -> _NoPlacement | None:
         """Return why no target will get the request in time, or None if one may."""
         quarantine_ms = self._get_quarantine_ms(exchange)
@@ -208,18 +260,44 @@
             return False
         return self._get_quarantine_ms(exchange) == 0
 
-    def _serve_queue(self, service: str) -> None:
+    def _serve_soon(self, service: str) -> None:
+        """Serve a queue now, or after the minimum distance of rounds if many requests wait."""
+        if service in self._scheduled_services or not (queue := self._queues.get(service)):
+            return
+        wait_ms = _MIN_ROUND_DISTANCE_MS - (
+            self._clock.now_ms() - self._served_at_ms.get(service, 0)
+        )
+        if wait_ms <= 0 or len(queue) <= _MAX_CHEAP_WAITING:
+            self._serve_queue(service)
+            return
+        self._scheduled_services.add(service)
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / _MS_PER_S, self._serve_scheduled, service)
+
+    def _serve_scheduled(self, service: str) -> None:
+        self._scheduled_services.discard(service)
+        self._serve_queue(service)
+
+    def _serve_queue(self, service: str, expire: bool = False) -> None:
         queue = self._queues.get(service)
         if not queue:
             return
-        now_ms = self._clock.now_ms()
+        self._served_at_ms[service] = self._clock.now_ms()
         self._refuse_unplaceable(service, queue)
+        if expire:
+            self._refuse_expiring(service, queue)
+        place = functools.partial(self._place_waiter, queue)
+        queue.place_waiting(self._clock.now_ms(), place)
+
+    def _refuse_expiring(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
+        """Refuse the waiting requests that will probably miss their deadline."""
+        now_ms = self._clock.now_ms()
         for waiter in queue.expire(now_ms):
             detail = f"{len(queue)} requests are waiting, {self._describe_targets(service, now_ms)}"
             retry_after_ms = choose_retry_after_ms(waiter.expected_wait_ms)
             expired = _NoPlacement(RefusalReason.NO_ROOM, detail, retry_after_ms)
+            self._record_order(waiter)
             _resolve(waiter.item[1], expired)
-        queue.place_waiting(now_ms, self._place_waiter)
 
     def _describe_targets(self, service: str, now_ms: int) -> str:
         targets = self._routing_state.targets
@@ -238,21 +316,26 @@
         if is_judged and self._sender.reaches_directly():
             return
         self._judged_versions[service] = version
-        for waiter in queue.list_in_send_order(self._clock.now_ms()):
+        for waiter in queue.list_waiting():
             unplaceable = self._find_why_unplaceable(waiter.item[0])
             if unplaceable is not None:
                 queue.remove(waiter)
                 _resolve(waiter.item[1], unplaceable)
 
-    def _place_waiter(self, waiter: Waiter[_QueuedRequest]) -> bool:
+    def _place_waiter(
+        self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
+    ) -> bool:
         exchange, future = waiter.item
-        attempt = self._place(exchange)
+        if future.done():
+            # Its caller has left, and its task has not run since.
+            return False
+        attempt = self._place(exchange, queue.needs_headroom(waiter, self._clock.now_ms()))
         if attempt is None:
             return False
         _resolve(future, attempt)
         return True
 
-    def _place(self, exchange: Exchange) -> Attempt | None:
+    def _place(self, exchange: Exchange, leaves_headroom: bool) -> Attempt | None:
         now_ms = self._clock.now_ms()
         request = PlacementRequest(
             exchange.service,
@@ -263,10 +346,11 @@
             frozenset(exchange.excluded_targets),
             self._dispatch_state.get_durations(exchange.route),
             now_ms - exchange.queued_at_ms,
+            leaves_headroom,
         )
         for placement in self._dispatch_state.placer.choose(request, now_ms):
             if self._dispatch_state.try_acquire_send(placement.state, now_ms):
-                return self._dispatch_state.start_attempt(placement)
+                return self._dispatch_state.start_attempt(placement, exchange.organisation)
         return None
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
@@ -292,7 +376,7 @@
             raise
         finally:
             self._dispatch_state.finish_attempt(attempt)
-            self._serve_queue(exchange.service)
+            self._serve_soon(exchange.service)
         if not (isinstance(result, SendFailure) and result.kind.certainly_not_sent):
             exchange.is_trial = False
         self._dispatch_state.record_result(exchange.route, exchange.object_key, attempt, result)
--- a/src/waxwingshelf/serving/exchange.py
+++ b/src/waxwingshelf/serving/exchange.py
@@ -21,7 +21,8 @@
 ]
 
 _RETRY_AFTER_RANGE_MS = (150, 450)
-_MAX_RETRY_AFTER_MS = 1_200
+_MAX_RETRY_AFTER_MS = 2_000
+_RETRY_AFTER_SPREAD = 0.1
 _rng = random.Random()
 
 
@@ -33,7 +34,9 @@
     is when the route's latency objective is reached, `deadline_ms` the deadline given to the
     target, and `response_deadline_ms` the time by which this instance must have the response.
     `failed_response` is a target's last failure response. `is_trial` is set while the request may
-    be sent once although it is quarantined.
+    be sent once although it is quarantined. `weight` is the organisation's in the order of waiting
+    requests. `position` and `share` say where a refused request was in that order: the number of
+    requests before it, and the organisation's requests in flight relative to the weight.
     """
 
     id: str
@@ -53,19 +56,29 @@
     last_failed_target_id: str = ""
     last_attempt: Attempt | None = None
     is_trial: bool = False
+    weight: float = 1.0
+    position: int = 0
+    share: float = 0.0
+
+    @property
+    def organisation(self) -> str:
+        """Return the name of the caller's organisation, or an empty string if it has none."""
+        return self.outgoing.headers.get(ORGANISATION_HEADER, "")
 
 
 def choose_retry_after_ms(expected_wait_ms: int = 0) -> int:
     """Return a random delay in milliseconds after which a refused caller may retry.
 
-    The delay is random so that the callers of a burst do not all retry at the same time. If the
-    expected wait for capacity is longer than the usual delays, it becomes the upper bound, up to
-    `_MAX_RETRY_AFTER_MS`. The lower bound is then a third of the upper one, since capacity may
-    become available earlier than expected.
+    The delay is random so that the callers of a burst do not all retry at the same time. It is near
+    the expected wait for capacity if that is known, which differs between the callers of a burst;
+    see `steering.wait_estimates`.
     """
     min_ms, max_ms = _RETRY_AFTER_RANGE_MS
-    max_ms = max(max_ms, min(expected_wait_ms, _MAX_RETRY_AFTER_MS))
-    return _rng.randint(max(min_ms, max_ms // 3), max_ms)
+    if expected_wait_ms <= 0:
+        return _rng.randint(min_ms, max_ms)
+    delay_ms = min(max(expected_wait_ms, min_ms), _MAX_RETRY_AFTER_MS)
+    spread_ms = int(delay_ms * _RETRY_AFTER_SPREAD)
+    return _rng.randint(delay_ms - spread_ms, delay_ms + spread_ms)
 
 
 def prefer_failed_response(exchange: Exchange, refusal: Refusal) -> UpstreamResponse | Refusal:
@@ -107,7 +120,7 @@
     return RefusedRequest(
         route=route.name,
         service=exchange.service,
-        organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
+        organisation=exchange.organisation,
         regions=tuple(sorted(exchange.allowed_regions)),
         time_ms=exchange.deadline_ms
         - (exchange.latency_objective_at_ms - route.latency_objective_ms),
@@ -116,4 +129,6 @@
         load=attempt.placement.load if attempt else 0,
         slots=attempt.state.target.slots if attempt else 0,
         fingerprint=exchange.outgoing.fingerprint,
+        position=exchange.position,
+        share=round(exchange.share, 4),
     )
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -152,6 +152,9 @@
         sender = TargetSender(self._upstream, self._prober, self._fleet, clock, metrics)
         durations = dispatch_state.duration_average
         self._peer_network.get_mean_duration_ms = lambda: durations.mean_ms
+        organisation_loads = dispatch_state.organisation_loads
+        self._peer_network.list_organisation_loads = organisation_loads.list_largest
+        self._peer_network.record_organisation_loads = organisation_loads.record_peer
         regions = frozenset(settings.regions.values())
         self._dispatcher = Dispatcher(
             self._routing_state, dispatch_state, sender, self._quarantine_keeper, clock, metrics
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -39,6 +39,12 @@
             ["result"],
             registry=registry,
         )
+        self.organisation_waits = Counter(
+            "waxwingshelf_organisation_waits",
+            "Requests that waited for capacity: placed, refused, unplaceable, or left by callers.",
+            ["result"],
+            registry=registry,
+        )
         self.durations = Histogram(
             "waxwingshelf_request_seconds",
             "Time from the start of a request to the response of its target.",
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -141,6 +141,10 @@
         self.is_watching: Callable[[], bool] = lambda: True
         self.get_mean_duration_ms: Callable[[], float | None] = lambda: None
         self.on_shares_updated: Callable[[], None] = lambda: None
+        self.list_organisation_loads: Callable[[], dict[int, int]] = dict
+        self.record_organisation_loads: Callable[[str, dict[int, int], int, int], None] = (
+            lambda name, counts, valid_until_ms, now_ms: None
+        )
         self.address = PeerAddress(
             name=settings.name,
             region=settings.region,
@@ -262,6 +266,7 @@
                 self._load_report_number,
                 loads,
                 choose_validity_ms(period_ms),
+                organisations=self.list_organisation_loads(),
             )
             self._send_load_report(report)
 
@@ -328,6 +333,9 @@
             now_ms = self._clock.now_ms()
             valid_until_ms = now_ms + report.validity_ms
             self._routing_state.targets.record_peer_loads(report.name, report.loads, valid_until_ms)
+            self.record_organisation_loads(
+                report.name, report.organisations, valid_until_ms, now_ms
+            )
 
     def _choose_recipients(self) -> list[Peer]:
         return self._fleet.choose_heartbeat_recipients(self.address.region, self._rng)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -32,6 +32,7 @@
 from waxwingshelf.serving.upstream import OutgoingRequest, UpstreamResponse
 from waxwingshelf.steering.attempts import Attempts
 from waxwingshelf.steering.config import OrganisationRule, RouteRule, SteeringConfig
+from waxwingshelf.steering.fair_order import OrganisationWeights
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
 from waxwingshelf.steering.routes import (
     choose_service,
@@ -77,6 +78,7 @@
         self._clock = clock
         self._metrics = metrics
         self.regions = regions
+        self._weights = OrganisationWeights()
         self.refusing_requests = False
         self.closing_connections = False
         self.in_flight = 0
@@ -117,6 +119,7 @@
         if isinstance(organisation, Refusal):
             return organisation
         exchange = self._build_exchange(request, request_id, route, organisation, started_ms)
+        exchange.weight = self._weights.get(config, organisation)
         self._dispatch_state.record_request(exchange.service)
         admission = await self._admit(organisation)
         if isinstance(admission, Refusal):
@@ -263,7 +266,7 @@
         fingerprint=exchange.outgoing.fingerprint,
         route=exchange.route.name,
         object=exchange.object_key.partition("\0")[2],
-        organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
+        organisation=exchange.organisation,
         target=upstream_response.target_id,
         status=upstream_response.status,
         sends=exchange.attempts.sends,
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -15,6 +15,7 @@
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.steering.durations import RouteDurations
+from waxwingshelf.steering.fair_order import compute_headroom
 from waxwingshelf.steering.scarcity import ScarceRegions
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
 
@@ -58,7 +59,8 @@
     """The properties of a request that the choice of its target depends on.
 
     An empty `allowed_regions` allows all regions. `sticky` requests for one `object_key` are
-    limited to a few targets.
+    limited to a few targets. A request that `leaves_headroom` does not use a target's last free
+    slots, which are left to more urgent requests.
     """
 
     service: str
@@ -69,6 +71,7 @@
     excluded_targets: frozenset[str]
     durations: RouteDurations
     waited_ms: int = 0
+    leaves_headroom: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +141,8 @@
         eligible = [
             candidate
             for candidate in candidates
-            if _has_capacity(candidate) and (candidate is first or candidate.cost_ms <= max_cost_ms)
+            if _has_capacity(candidate, request)
+            and (candidate is first or candidate.cost_ms <= max_cost_ms)
         ]
         eligible.sort(key=_get_cost)
         if limited is not None:
@@ -258,13 +262,15 @@
     for candidate in candidates:
         is_limited = candidate.state.rate_share is not None
         if is_limited and candidate.cost_ms <= request.latency_objective_ms:
-            return candidate if _has_capacity(candidate) else None
+            return candidate if _has_capacity(candidate, request) else None
     return None
 
 
-def _has_capacity(candidate: Placement) -> bool:
+def _has_capacity(candidate: Placement, request: PlacementRequest) -> bool:
     """Return whether the target has capacity; a cold run may only use otherwise idle slots."""
     slots = candidate.state.target.slots
+    if request.leaves_headroom and candidate.load >= slots - compute_headroom(slots):
+        return False
     if candidate.warm:
         return candidate.load < slots * (1.0 + _MAX_QUEUE_FRACTION)
     return candidate.load < slots * _MAX_COLD_FILL
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -72,7 +72,9 @@
     """The inputs of a decision to refuse a request, for the log.
 
     `time_ms` is the total time that the request had, `regions` the regions that it may run in
-    (empty for any). `load`, `slots` and `waited_ms` belong to the last attempt.
+    (empty for any). `load`, `slots` and `waited_ms` belong to the last attempt. `position` is the
+    number of waiting requests that went before it, and `share` its organisation's requests in
+    flight relative to the organisation's weight, if it was refused for want of capacity.
     """
 
     route: str
@@ -85,6 +87,8 @@
     load: int = 0
     slots: int = 0
     fingerprint: str = ""
+    position: int = 0
+    share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -3,30 +3,41 @@
 A burst can bring several times the requests that the slots can carry. Served in order of arrival,
 every request would wait until it is late, and all slots would produce late responses. Therefore
 requests that can still meet their latency objective go first, in order of priority, and late
-requests get the remaining capacity.
+requests get the remaining capacity. Between requests of equal lateness and priority, organisations
+get fair shares (see `steering.fair_order`).
 
-A late request that will probably not get capacity before its deadline leaves the queue immediately.
-Its wait is estimated from the rate at which late requests recently got capacity, or from the recent
-peak rate of all requests if that is higher. The peak rate counts less and less while capacity goes
-only to requests that are not late.
+A late request that will probably not get capacity before its deadline leaves the queue immediately;
+see `steering.wait_estimates`.
+
+Requests that wait for different targets do not block each other: one that cannot be placed is
+skipped. To bound the work, a round tries only the first requests of each group in order, and then
+some of the others in turn, those that have never been tried first.
 """
 
 from __future__ import annotations
 
+import heapq
 import itertools
-from collections.abc import Callable, Hashable
+from collections import deque
+from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-from waxwingshelf.steering.throughput import Throughput
+from waxwingshelf.steering.fair_order import PLACED_USAGE, FairMerge
+from waxwingshelf.steering.wait_estimates import Group, WaiterKind, WaitEstimates
 
 __all__ = ["WaitQueue", "Waiter"]
 
 _T = TypeVar("_T")
 _DEFAULT_MAX_WAITING = 2_000
-_MS_PER_S = 1_000
-# A few late requests may always wait, as nothing is known of the capacity at first.
-_MIN_LATE_RATE_PER_S = 2.0
+# A try costs some ten microseconds. A target's slots are filled by far fewer requests than this.
+_MAX_FAILED_TRIES_PER_GROUP = 32
+_MAX_TRIES_IN_TURN = 32
+# Requests looked at in one round, including those that certainly cannot be placed.
+_MAX_EXAMINED = 512
+_MIN_COMPACTION_SIZE = 64
+# Less urgent requests leave headroom for this long after a more urgent one has waited.
+_HEADROOM_MS = 1_000
 
 
 @dataclass(slots=True)
@@ -35,31 +46,104 @@
 
     `priority` is the organisation's if it has one, and `route_priority` always the route's. A
     request sent before `late_from_ms` can still meet its latency objective, and a request sent by
-    `latest_send_ms` its deadline. Requests of the same `group` compete for the same targets. For an
-    expired request, `expected_wait_ms` is the estimated wait for capacity.
+    `latest_send_ms` its deadline. Requests of the same `group` of regions compete for the same
+    targets; an empty group stands for all regions. Of requests with the same `choice`, unless it is
+    None, an earlier one finds a target if a later one does. For an expired request,
+    `expected_wait_ms` is the time after which its caller may come back, and `position` the number
+    of requests before it.
     """
 
     item: _T
     priority: int
     late_from_ms: int
     latest_send_ms: int
-    group: Hashable = None
+    group: Group = frozenset()
     expected_wait_ms: int = 0
     sequence: int = field(default=0)
     route_priority: int = 0
+    organisation: str = ""
+    weight: float = 1.0
+    choice: Hashable = None
+    position: int = 0
+
+    @property
+    def kind(self) -> WaiterKind:
+        """Return the kind of requests that get capacity at the same rate."""
+        return WaiterKind(self.organisation, self.priority, self.route_priority, self.group)
+
+
+# Whether its requests are late, their priority and their route's priority; the first goes first.
+_Tier = tuple[bool, int, int]
+
+
+@dataclass(slots=True)
+class _Bucket(Generic[_T]):
+    """The requests of one organisation, tier and group, in order of arrival."""
+
+    organisation: str
+    group: Group
+    weight: float
+    waiters: dict[int, Waiter[_T]] = field(default_factory=dict)
+
+
+class _Round(Generic[_T]):
+    """One round of tries to place requests."""
+
+    def __init__(self, place: Callable[[Waiter[_T]], bool]) -> None:
+        self._place = place
+        self._failures: dict[Group, int] = {}
+        # The sequence of the oldest request that could not be placed, by choice.
+        self._failed_choices: dict[Hashable, int] = {}
+        self._tried: set[int] = set()
+        self.blocked_groups: set[Group] = set()
+        self.placed: list[Waiter[_T]] = []
+
+    def was_tried(self, waiter: Waiter[_T]) -> bool:
+        """Return whether the request was tried in this round."""
+        return waiter.sequence in self._tried
+
+    def try_to_place(self, waiter: Waiter[_T]) -> bool:
+        """Return whether the request was placed, which is tried unless it must fail."""
+        self._tried.add(waiter.sequence)
+        failed_sequence = self._failed_choices.get(waiter.choice)
+        if failed_sequence is not None and failed_sequence < waiter.sequence:
+            return False
+        if self._place(waiter):
+            self.placed.append(waiter)
+            return True
+        if waiter.choice is not None:
+            self._failed_choices[waiter.choice] = waiter.sequence
+        failures = self._failures[waiter.group] = self._failures.get(waiter.group, 0) + 1
+        if failures >= _MAX_FAILED_TRIES_PER_GROUP:
+            self.blocked_groups.add(waiter.group)
+        return False
 
 
 class WaitQueue(Generic[_T]):
-    """The waiting requests of one service."""
+    """The waiting requests of one service.
 
-    def __init__(self, max_waiting: int = _DEFAULT_MAX_WAITING) -> None:
+    `compute_usage` returns what an organisation uses of the service, in requests in flight.
+    """
+
+    def __init__(
+        self,
+        max_waiting: int = _DEFAULT_MAX_WAITING,
+        compute_usage: Callable[[str, int], float] | None = None,
+    ) -> None:
         self._waiters: dict[int, Waiter[_T]] = {}
         self._sequences = itertools.count(1)
         self._max_waiting = max_waiting
-        self._placements: dict[Hashable, Throughput] = {}
-        self._late_placements: dict[Hashable, Throughput] = {}
-        # For each group with late requests waiting: placements since the last late placement.
-        self._placed_since_late: dict[Hashable, int] = {}
+        self._compute_usage = compute_usage or _compute_no_usage
+        self._tiers: dict[_Tier, dict[tuple[str, Group], _Bucket[_T]]] = {}
+        self._tier_by_sequence: dict[int, _Tier] = {}
+        # Requests that are not late yet, by the time from which they are. Those that have left the
+        # queue stay until then or until a compaction.
+        self._late_times: list[tuple[int, int]] = []
+        # The requests to try in turn, with some that have left the queue.
+        self._turns: deque[int] = deque()
+        # When a request of this priority, route's priority and group waited last.
+        self._last_waits_ms: dict[tuple[int, int, Group], int] = {}
+        self._estimates = WaitEstimates()
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -74,71 +158,236 @@
             return False
         waiter.sequence = next(self._sequences)
         self._waiters[waiter.sequence] = waiter
+        self._put(waiter, (False, waiter.priority, waiter.route_priority))
+        late_at_ms = min(waiter.late_from_ms, waiter.latest_send_ms)
+        heapq.heappush(self._late_times, (late_at_ms, waiter.sequence))
+        self._turns.appendleft(waiter.sequence)
+        self._compact()
         return True
 
     def remove(self, waiter: Waiter[_T]) -> None:
         """Remove a request, for example after its caller has disconnected."""
-        self._waiters.pop(waiter.sequence, None)
+        if self._waiters.pop(waiter.sequence, None) is not None:
+            self._take_out(waiter)
 
     def expire(self, now_ms: int) -> list[Waiter[_T]]:
         """Remove and return the requests that will probably miss their deadline."""
+        self._move_late(now_ms)
         expired: list[Waiter[_T]] = []
-        positions: dict[Hashable, int] = {}
-        for waiter in self.list_in_send_order(now_ms):
-            if now_ms < min(waiter.late_from_ms, waiter.latest_send_ms):
+        positions: dict[Group, int] = {}
+        for tier in sorted(self._tiers):
+            if not tier[0]:
                 continue
-            position = positions.get(waiter.group, 0)
-            wait_ms = (position + 1) / self._compute_late_rate(waiter.group, now_ms) * _MS_PER_S
-            if now_ms + wait_ms > waiter.latest_send_ms:
-                waiter.expected_wait_ms = int(wait_ms)
+            merge = self._merge(tier, now_ms)
+            while (waiter := merge.pop(set())) is not None:
+                position = positions.get(waiter.group, 0)
+                wait_ms = self._estimates.compute_wait_ms(waiter.group, position, now_ms)
+                if now_ms + wait_ms <= waiter.latest_send_ms:
+                    positions[waiter.group] = position + 1
+                    merge.record_placed(waiter.organisation)
+                    continue
+                waiter.position = position
+                waiter.expected_wait_ms = self._estimates.announce_return(
+                    waiter.kind, wait_ms, now_ms
+                )
                 expired.append(waiter)
-            else:
-                positions[waiter.group] = position + 1
         for waiter in expired:
-            del self._waiters[waiter.sequence]
-        self._placed_since_late = {
-            group: self._placed_since_late.get(group, 0) for group in positions
-        }
+            self.remove(waiter)
+        self._estimates.set_late_groups(positions)
         return expired
 
-    def record_placement(self, group: Hashable, late: bool, now_ms: int) -> None:
+    def record_placement(self, waiter: Waiter[_T], now_ms: int) -> None:
         """Record that a request got capacity at a target."""
-        self._placements.setdefault(group, Throughput(now_ms)).record(now_ms)
-        if late:
-            self._late_placements.setdefault(group, Throughput(now_ms)).record(now_ms)
-            self._placed_since_late.pop(group, None)
-        elif group in self._placed_since_late:
-            self._placed_since_late[group] += 1
-
-    def _compute_late_rate(self, group: Hashable, now_ms: int) -> float:
-        late_placements, placements = self._late_placements.get(group), self._placements.get(group)
-        recent_rate = late_placements.compute_rate(now_ms) if late_placements else 0.0
-        peak_rate = placements.compute_recent_peak(now_ms) if placements else 0.0
-        expected_rate = 0.0
-        if peak_rate > 0:
-            # Halved for each second's worth of capacity that went to requests that were not late.
-            expected_rate = peak_rate * 0.5 ** (self._placed_since_late.get(group, 0) / peak_rate)
-        return max(recent_rate, expected_rate, _MIN_LATE_RATE_PER_S)
+        self._estimates.record_placement(waiter.kind, now_ms >= waiter.late_from_ms, now_ms)
+
+    def has_preceding(self, waiter: Waiter[_T], now_ms: int) -> bool:
+        """Return whether a waiting request goes before a new one and competes for its targets."""
+        if not self._waiters:
+            return False
+        self._move_late(now_ms)
+        own_tier = _find_tier(waiter, now_ms)
+        for tier, buckets in self._tiers.items():
+            if tier > own_tier:
+                continue
+            for bucket in buckets.values():
+                if not _compete(bucket.group, waiter.group):
+                    continue
+                if tier < own_tier or self._has_no_larger_share(bucket, waiter, now_ms):
+                    return True
+        return False
+
+    def estimate_position(self, waiter: Waiter[_T], now_ms: int) -> int:
+        """Return how many waiting requests go before a new one and compete for its targets."""
+        self._move_late(now_ms)
+        own_tier = _find_tier(waiter, now_ms)
+        own_bucket = self._tiers.get(own_tier, {}).get((waiter.organisation, waiter.group))
+        own_waiting = len(own_bucket.waiters) if own_bucket else 0
+        usage = self._compute_usage(waiter.organisation, now_ms)
+        share = (usage + own_waiting * PLACED_USAGE) / waiter.weight
+        position = 0
+        for tier, buckets in self._tiers.items():
+            for bucket in buckets.values():
+                if tier > own_tier or not _compete(bucket.group, waiter.group):
+                    continue
+                if tier < own_tier or bucket.organisation == waiter.organisation:
+                    position += len(bucket.waiters)
+                    continue
+                usage = self._compute_usage(bucket.organisation, now_ms)
+                before = int((share * bucket.weight - usage) / PLACED_USAGE) + 1
+                position += min(len(bucket.waiters), max(0, before))
+        return position
+
+    def announce_return(self, waiter: Waiter[_T], now_ms: int) -> int:
+        """Return in how many milliseconds the caller of a request that was not added may return."""
+        waiter.position = self.estimate_position(waiter, now_ms)
+        wait_ms = self._estimates.compute_wait_ms(waiter.group, waiter.position, now_ms)
+        return self._estimates.announce_return(waiter.kind, wait_ms, now_ms)
+
+    def needs_headroom(self, waiter: Waiter[_T], now_ms: int) -> bool:
+        """Return whether a request must leave slots to a more urgent route of the service.
+
+        That is the case if the route's requests have lately waited for the same targets, unless
+        this request goes first because of its organisation.
+        """
+        for (priority, route_priority, group), waited_ms in self._last_waits_ms.items():
+            if route_priority >= waiter.route_priority or priority > waiter.priority:
+                continue
+            if now_ms - waited_ms < _HEADROOM_MS and _compete(group, waiter.group):
+                return True
+        return False
 
     def place_waiting(self, now_ms: int, place: Callable[[Waiter[_T]], bool]) -> None:
-        """Call `place` for each request in send order; requests that it accepts leave the queue."""
-        for waiter in self.list_in_send_order(now_ms):
-            if place(waiter):
-                self._waiters.pop(waiter.sequence, None)
-                self.record_placement(waiter.group, now_ms >= waiter.late_from_ms, now_ms)
+        """Call `place` for requests in send order; those that it accepts leave the queue."""
+        self._move_late(now_ms)
+        current_round = _Round(place)
+        try:
+            self._place_in_order(current_round, now_ms)
+            self._place_in_turn(current_round)
+        finally:
+            for waiter in current_round.placed:
+                self.remove(waiter)
+                self.record_placement(waiter, now_ms)
+            self._record_waits(now_ms)
 
     def list_in_send_order(self, now_ms: int) -> list[Waiter[_T]]:
         """Return the requests in send order.
 
         Those that are not late go first, then the priority decides, then the route's own priority,
-        and then the arrival.
+        then the shares of the organisations, and then the arrival.
         """
-        return sorted(
-            self._waiters.values(),
-            key=lambda waiter: (
-                now_ms >= waiter.late_from_ms,
-                waiter.priority,
-                waiter.route_priority,
-                waiter.sequence,
-            ),
-        )
+        self._move_late(now_ms)
+        ordered: list[Waiter[_T]] = []
+        for tier in sorted(self._tiers):
+            merge = self._merge(tier, now_ms)
+            while (waiter := merge.pop(set())) is not None:
+                merge.record_placed(waiter.organisation)
+                ordered.append(waiter)
+        return ordered
+
+    def list_waiting(self) -> list[Waiter[_T]]:
+        """Return the requests in order of arrival."""
+        return list(self._waiters.values())
+
+    def _place_in_order(self, current_round: _Round[_T], now_ms: int) -> None:
+        examined = 0
+        for tier in sorted(self._tiers):
+            merge = self._merge(tier, now_ms)
+            while (waiter := merge.pop(current_round.blocked_groups)) is not None:
+                if current_round.try_to_place(waiter):
+                    merge.record_placed(waiter.organisation)
+                examined += 1
+                if examined >= _MAX_EXAMINED:
+                    return
+
+    def _place_in_turn(self, current_round: _Round[_T]) -> None:
+        """Try requests beyond the first ones, which may wait for other targets than these."""
+        tries = 0
+        for _ in range(min(len(self._turns), _MAX_EXAMINED)):
+            sequence = self._turns.popleft()
+            waiter = self._waiters.get(sequence)
+            if waiter is None:
+                continue
+            self._turns.append(sequence)
+            if current_round.was_tried(waiter):
+                continue
+            current_round.try_to_place(waiter)
+            tries += 1
+            if tries >= _MAX_TRIES_IN_TURN:
+                return
+
+    def _merge(self, tier: _Tier, now_ms: int) -> FairMerge[Waiter[_T]]:
+        merge: FairMerge[Waiter[_T]] = FairMerge()
+        for bucket in self._tiers[tier].values():
+            usage = self._compute_usage(bucket.organisation, now_ms)
+            waiters: Iterator[Waiter[_T]] = iter(bucket.waiters.values())
+            merge.add(bucket.organisation, bucket.weight, usage, bucket.group, waiters)
+        return merge
+
+    def _has_no_larger_share(self, bucket: _Bucket[_T], waiter: Waiter[_T], now_ms: int) -> bool:
+        if bucket.organisation == waiter.organisation:
+            return True
+        share = self._compute_usage(bucket.organisation, now_ms) / bucket.weight
+        return share <= self._compute_usage(waiter.organisation, now_ms) / waiter.weight
+
+    def _record_waits(self, now_ms: int) -> None:
+        for (_, priority, route_priority), buckets in self._tiers.items():
+            for bucket in buckets.values():
+                self._last_waits_ms[(priority, route_priority, bucket.group)] = now_ms
+        if len(self._last_waits_ms) > _MIN_COMPACTION_SIZE:
+            self._last_waits_ms = {
+                key: waited_ms
+                for key, waited_ms in self._last_waits_ms.items()
+                if now_ms - waited_ms < _HEADROOM_MS
+            }
+
+    def _move_late(self, now_ms: int) -> None:
+        late_times = self._late_times
+        while late_times and late_times[0][0] <= now_ms:
+            _, sequence = heapq.heappop(late_times)
+            waiter = self._waiters.get(sequence)
+            if waiter is not None:
+                self._take_out(waiter)
+                self._put(waiter, (True, waiter.priority, waiter.route_priority))
+
+    def _put(self, waiter: Waiter[_T], tier: _Tier) -> None:
+        buckets = self._tiers.setdefault(tier, {})
+        key = (waiter.organisation, waiter.group)
+        bucket = buckets.get(key)
+        if bucket is None:
+            bucket = buckets[key] = _Bucket(waiter.organisation, waiter.group, waiter.weight)
+        bucket.weight = waiter.weight
+        bucket.waiters[waiter.sequence] = waiter
+        self._tier_by_sequence[waiter.sequence] = tier
+
+    def _take_out(self, waiter: Waiter[_T]) -> None:
+        tier = self._tier_by_sequence.pop(waiter.sequence)
+        buckets = self._tiers[tier]
+        key = (waiter.organisation, waiter.group)
+        del buckets[key].waiters[waiter.sequence]
+        if not buckets[key].waiters:
+            del buckets[key]
+        if not buckets:
+            del self._tiers[tier]
+
+    def _compact(self) -> None:
+        """Drop requests that have left the queue once they are the larger part."""
+        max_size = max(_MIN_COMPACTION_SIZE, 2 * len(self._waiters))
+        if len(self._turns) > max_size:
+            self._turns = deque(number for number in self._turns if number in self._waiters)
+        if len(self._late_times) > max_size:
+            self._late_times = [row for row in self._late_times if row[1] in self._waiters]
+            heapq.heapify(self._late_times)
+
+
+def _compute_no_usage(_organisation: str, _now_ms: int) -> float:
+    return 0.0
+
+
+def _find_tier(waiter: Waiter[_T], now_ms: int) -> _Tier:
+    late = now_ms >= min(waiter.late_from_ms, waiter.latest_send_ms)
+    return (late, waiter.priority, waiter.route_priority)
+
+
+def _compete(first: Group, second: Group) -> bool:
+    """Return whether requests of two groups compete for targets; an empty group allows all."""
+    return not first or not second or not first.isdisjoint(second)
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -247,3 +247,17 @@
     assert (first.state is limited) is is_chosen
     limited.rate_share.record_send(0)
     assert placer.choose(make_request("o1", durations), 100)[0].state is other
+
+
+@pytest.mark.parametrize(
+    ("slots", "load", "leaves_headroom", "is_placed"),
+    [(3, 1, True, True), (3, 2, True, False), (3, 2, False, True), (1, 0, True, True)],
+)
+def test_less_urgent_request_leaves_the_last_slots(slots, load, leaves_headroom, is_placed) -> None:
+    """Long work filled all slots of the targets before short urgent work arrived."""
+    registry = TargetRegistry()
+    registry.put(make_target(0, slots), 0)
+    state = registry.list_usable("reads")[0]
+    state.in_flight = dict.fromkeys(range(load), 0)
+    request = make_request("o1", RouteDurations(OBJECTIVE_MS), leaves_headroom=leaves_headroom)
+    assert bool(Placer(LOCALITY, registry).choose(request, 0)) == is_placed
--- a/tests/steering/test_waiting.py
+++ b/tests/steering/test_waiting.py
@@ -1,6 +1,9 @@
 """Tests of the order in which waiting requests are placed, and of when they expire."""
 
 import random
+import time
+
+import pytest
 
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
@@ -151,3 +154,199 @@
     simulation.run(9_000, 20, 5_500)
     assert simulation.refused_retries <= 0.1 * 30 * 1.5
     assert simulation.late >= 0.5 * 30 * 1.5
+
+
+class _RetrySimulation:
+    """Ten slots, ten organisations, and callers that come back when they are told to."""
+
+    def __init__(self, seed: int) -> None:
+        self.queue: WaitQueue[tuple[int, int]] = WaitQueue()
+        self.rng = random.Random(seed)
+        self.end_times_ms: list[int] = []
+        self.returns: list[tuple[int, int, int]] = []
+        self.refusals: dict[int, int] = {}
+        self.number = 0
+
+    def run(self, from_ms: int, until_ms: int, per_s: float) -> None:
+        for now_ms in range(from_ms, until_ms, 10):
+            self.end_times_ms = [end_ms for end_ms in self.end_times_ms if end_ms > now_ms]
+            if self.rng.random() < per_s / 100:
+                self.number += 1
+                self.add(now_ms, now_ms, self.number)
+            due = [row for row in self.returns if row[0] <= now_ms]
+            self.returns = [row for row in self.returns if row[0] > now_ms]
+            for _, arrived_ms, number in due:
+                self.add(now_ms, arrived_ms, number)
+            for waiter in self.queue.expire(now_ms):
+                arrived_ms, number = waiter.item
+                self.refusals[number] = self.refusals.get(number, 0) + 1
+                wait_ms = max(150, min(2_000, waiter.expected_wait_ms))
+                self.returns.append((now_ms + wait_ms, arrived_ms, number))
+            self.queue.place_waiting(now_ms, lambda _, now_ms=now_ms: self.place(now_ms))
+
+    def add(self, now_ms: int, arrived_ms: int, number: int) -> None:
+        latest_send_ms = arrived_ms + DEADLINE_MS - WORK_MS
+        if now_ms <= latest_send_ms:
+            late_from_ms = now_ms + OBJECTIVE_MS - WORK_MS
+            self.queue.add(
+                Waiter(
+                    (arrived_ms, number),
+                    1,
+                    late_from_ms,
+                    latest_send_ms,
+                    organisation=f"o{number % 10}",
+                )
+            )
+
+    def place(self, now_ms: int) -> bool:
+        if len(self.end_times_ms) >= SLOTS:
+            return False
+        self.end_times_ms.append(now_ms + WORK_MS)
+        return True
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_few_callers_are_refused_twice_after_a_burst(seed) -> None:
+    """All callers of a burst were told about the same time, and about half were refused again."""
+    simulation = _RetrySimulation(seed)
+    simulation.run(0, 4_000, 30)
+    simulation.run(4_000, 6_000, 90)
+    simulation.run(6_000, 14_000, 25)
+    refused_twice = sum(count > 1 for count in simulation.refusals.values())
+    assert len(simulation.refusals) >= 20
+    assert refused_twice <= 0.3 * len(simulation.refusals)
+
+
+def test_announced_returns_of_one_kind_follow_each_other() -> None:
+    """Callers that were told the same time were all but one refused again."""
+    queue: WaitQueue[int] = WaitQueue()
+    for number in range(6):
+        queue.add(Waiter(number, 1, 0, 10, organisation="acme"))
+    queue.add(Waiter(6, 1, 0, 10, organisation="other"))
+    waits_ms = {waiter.item: waiter.expected_wait_ms for waiter in queue.expire(100)}
+    assert [waits_ms[number] for number in range(6)] == [500, 1_000, 1_500, 2_000, 2_000, 2_000]
+    assert waits_ms[6] == 500
+
+
+def make_new(route_priority: int = 1, group: frozenset[str] = frozenset(), organisation: str = ""):
+    return Waiter(
+        "new", 1, 500, 2_000, group, route_priority=route_priority, organisation=organisation
+    )
+
+
+NORTH, SOUTH = frozenset({"north"}), frozenset({"south"})
+
+
+@pytest.mark.parametrize(
+    ("waiting", "new", "has_preceding"),
+    [
+        (make_new(), make_new(), True),
+        (make_new(route_priority=2), make_new(), False),
+        (make_new(route_priority=0), make_new(), True),
+        (make_new(group=NORTH), make_new(group=SOUTH), False),
+        (make_new(group=NORTH), make_new(), True),
+        (make_new(), make_new(group=SOUTH), True),
+        (make_new(organisation="greedy"), make_new(organisation="other"), False),
+        (make_new(organisation="other"), make_new(organisation="greedy"), True),
+        (make_new(organisation="greedy"), make_new(organisation="greedy"), True),
+    ],
+)
+def test_new_request_does_not_overtake_those_that_precede_it(waiting, new, has_preceding) -> None:
+    """A new request took the slot for which an earlier or more urgent one had waited."""
+    usage = {"greedy": 5.0}
+    queue: WaitQueue[str] = WaitQueue(compute_usage=lambda name, now_ms: usage.get(name, 0.0))
+    assert not queue.has_preceding(new, 0)
+    queue.add(waiting)
+    assert queue.has_preceding(new, 0) == has_preceding
+
+
+def test_late_requests_do_not_hold_back_a_new_one() -> None:
+    """A request that can still meet its objective goes before one that cannot."""
+    queue: WaitQueue[str] = WaitQueue()
+    queue.add(make_waiter("late", priority=0, late_from_ms=50))
+    assert not queue.has_preceding(make_new(), 100)
+
+
+def test_requests_for_other_regions_are_placed_beside_many_blocked_ones() -> None:
+    """Requests bound to a full region must not keep others from the free slots of another."""
+    queue: WaitQueue[str] = WaitQueue()
+    for _ in range(500):
+        queue.add(make_new(route_priority=0, group=NORTH))
+    queue.add(make_new(group=SOUTH))
+    placed: list[frozenset[str]] = []
+    queue.place_waiting(0, lambda waiter: waiter.group == SOUTH and not placed.append(waiter.group))
+    assert placed == [SOUTH]
+
+
+@pytest.mark.parametrize("position", [0, 250, 499])
+def test_requests_for_other_warm_objects_are_placed_beside_many_blocked_ones(position) -> None:
+    """Only some requests are tried in one round; a placeable one must come up within a few."""
+    queue: WaitQueue[int] = WaitQueue()
+    for number in range(500):
+        queue.add(Waiter(number, 1, 500, 2_000, choice=f"object {number}"))
+    for _ in range(500 // 32 + 1):
+        queue.place_waiting(0, lambda waiter: waiter.item == position)
+    assert len(queue) == 499
+
+
+def test_new_request_is_tried_in_the_next_round_beside_many_blocked_ones() -> None:
+    """A request whose target is free must not wait for its turn behind all blocked ones."""
+    queue: WaitQueue[int] = WaitQueue()
+    for number in range(500):
+        queue.add(Waiter(number, 1, 500, 2_000, choice=f"object {number}"))
+    queue.place_waiting(0, lambda waiter: False)
+    queue.add(Waiter(500, 1, 500, 2_000, choice="object 500"))
+    queue.place_waiting(0, lambda waiter: waiter.item == 500)
+    assert len(queue) == 500
+
+
+def test_requests_with_the_same_choice_are_tried_once_in_a_round() -> None:
+    """Many requests for one busy object must not use up the tries of the others."""
+    queue: WaitQueue[int] = WaitQueue()
+    for number in range(200):
+        queue.add(Waiter(number, 1, 500, 2_000, choice="busy"))
+    queue.add(Waiter(200, 1, 500, 2_000, choice="free"))
+    tried: list[int] = []
+    queue.place_waiting(0, lambda waiter: bool(tried.append(waiter.item)) or waiter.item == 200)
+    assert tried == [0, 200]
+
+
+def test_work_is_bounded_when_many_requests_wait() -> None:
+    """Every round had tried all requests, and every arrival would have sorted the whole queue."""
+    queue: WaitQueue[int] = WaitQueue()
+    for number in range(1_999):
+        queue.add(Waiter(number, 1, 10_000, 20_000, organisation=f"o{number % 80}"))
+    tried: list[int] = []
+    queue.place_waiting(0, lambda waiter: bool(tried.append(waiter.item)))
+    assert len(tried) <= 64
+    started_s = time.perf_counter()
+    for _ in range(1_000):
+        queue.has_preceding(make_new(), 0)
+    # Tens of microseconds each at most; sorting the queue takes over 500.
+    assert time.perf_counter() - started_s < 0.1
+
+
+@pytest.mark.parametrize(
+    ("waiting", "new", "now_ms", "needs_headroom"),
+    [
+        (make_new(route_priority=0), make_new(route_priority=2), 999, True),
+        (make_new(route_priority=0), make_new(route_priority=2), 1_000, False),
+        (make_new(route_priority=2), make_new(route_priority=2), 0, False),
+        (make_new(route_priority=2), make_new(route_priority=0), 0, False),
+        (make_new(route_priority=0, group=NORTH), make_new(2, SOUTH), 0, False),
+        (make_new(route_priority=0, group=NORTH), make_new(2), 0, True),
+        (Waiter("", 2, 500, 2_000, route_priority=0), make_new(2), 0, False),
+    ],
+)
+def test_less_urgent_routes_leave_headroom_for_a_while(
+    waiting, new, now_ms, needs_headroom
+) -> None:
+    """Long reads had filled all slots before short urgent downloads arrived.
+
+    A request that goes first because of its organisation's priority leaves none.
+    """
+    queue: WaitQueue[str] = WaitQueue()
+    queue.add(waiting)
+    queue.place_waiting(0, lambda waiter: False)
+    queue.remove(waiting)
+    assert queue.needs_headroom(new, now_ms) == needs_headroom
