Bound the work for a queue with many organisations and late requests

Cause: with 2,000 waiting requests, the judgement of late ones took 5 to 8 ms in each round, the comparison of a new request's share grew with the organisations, and a round of 2,000 organisations took 14 ms.

Change: rounds and judgements are rarer the more organisations and late requests wait. A new request joins the queue without a comparison of shares if more than 16 organisations wait. A request past its latest send time is not placed between two judgements. A round tries 16 instead of 32 requests of a group in order, and 16 in turn.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -107,7 +107,8 @@
             await self._has_waiting.wait()
             await asyncio.sleep(_QUEUE_POLL_INTERVAL_S)
             for service in list(self._queues):
-                self._serve_queue(service, expire=True)
+                self._refuse_waiting(service)
+                self._serve_soon(service)
             if not any(self._queues.values()):
                 self._has_waiting.clear()
 
@@ -264,9 +265,7 @@
         """Serve a queue now, or after the minimum distance of rounds if many requests wait."""
         if service in self._scheduled_services or not (queue := self._queues.get(service)):
             return
-        wait_ms = _MIN_ROUND_DISTANCE_MS - (
-            self._clock.now_ms() - self._served_at_ms.get(service, 0)
-        )
+        wait_ms = self._compute_wait_ms(service)
         if wait_ms <= 0 or len(queue) <= _MAX_CHEAP_WAITING:
             self._serve_queue(service)
             return
@@ -274,23 +273,30 @@
         loop = asyncio.get_running_loop()
         loop.call_later(wait_ms / _MS_PER_S, self._serve_scheduled, service)
 
+    def _compute_wait_ms(self, service: str) -> int:
+        """Return the time until the next round of a long queue, 0 or less if it is due."""
+        distance_ms = max(_MIN_ROUND_DISTANCE_MS, self._queues[service].compute_round_distance_ms())
+        return self._served_at_ms.get(service, 0) + distance_ms - self._clock.now_ms()
+
     def _serve_scheduled(self, service: str) -> None:
         self._scheduled_services.discard(service)
         self._serve_queue(service)
 
-    def _serve_queue(self, service: str, expire: bool = False) -> None:
+    def _serve_queue(self, service: str) -> None:
         queue = self._queues.get(service)
         if not queue:
             return
         self._served_at_ms[service] = self._clock.now_ms()
         self._refuse_unplaceable(service, queue)
-        if expire:
-            self._refuse_expiring(service, queue)
         place = functools.partial(self._place_waiter, queue)
         queue.place_waiting(self._clock.now_ms(), place)
 
-    def _refuse_expiring(self, service: str, queue: WaitQueue[_QueuedRequest]) -> None:
-        """Refuse the waiting requests that will probably miss their deadline."""
+    def _refuse_waiting(self, service: str) -> None:
+        """Refuse the waiting requests that will probably get no target before their deadline."""
+        queue = self._queues.get(service)
+        if not queue:
+            return
+        self._refuse_unplaceable(service, queue)
         now_ms = self._clock.now_ms()
         for waiter in queue.expire(now_ms):
             detail = f"{len(queue)} requests are waiting, {self._describe_targets(service, now_ms)}"
--- a/src/waxwingshelf/steering/fair_order.py
+++ b/src/waxwingshelf/steering/fair_order.py
@@ -24,7 +24,6 @@
 from waxwingshelf.steering.config import OrganisationRule, SteeringConfig
 
 __all__ = [
-    "PLACED_USAGE",
     "FairMerge",
     "OrganisationLoads",
     "OrganisationWeights",
@@ -42,8 +41,6 @@
 # The part of the present number of requests in flight that counts besides their average, so that
 # several slots that become free at the same time do not all go to one organisation.
 _PRESENT_FRACTION = 0.1
-# How much one request adds to its organisation's usage at once.
-PLACED_USAGE = _PRESENT_FRACTION
 _MIN_KEPT_AVERAGE = 0.01
 _MAX_KEPT_AVERAGES = 4_096
 _HEADROOM_FRACTION = 0.2
@@ -242,7 +239,7 @@
         if head is None:
             return
         stream = _Stream(organisation, weight, usage, group, head, items)
-        heapq.heappush(self._heap, (self._compute_share(stream), head.sequence, stream))
+        heapq.heappush(self._heap, (usage / weight, head.sequence, stream))
 
     def pop(self, blocked_groups: frozenset[frozenset[str]] | set[frozenset[str]]) -> _T | None:
         """Return the next item that is in none of the blocked groups, or None."""
@@ -272,7 +269,7 @@
 
     def _compute_share(self, stream: _Stream[_T]) -> float:
         placed = self._placed.get(stream.organisation, 0)
-        return (stream.usage + placed * PLACED_USAGE) / stream.weight
+        return (stream.usage + placed * _PRESENT_FRACTION) / stream.weight
 
 
 def _advance(average: _Average, present: int, now_ms: int) -> float:
--- a/src/waxwingshelf/steering/wait_estimates.py
+++ b/src/waxwingshelf/steering/wait_estimates.py
@@ -75,10 +75,6 @@
         """Set which groups have late requests waiting."""
         self._placed_since_late = {group: self._placed_since_late.get(group, 0) for group in groups}
 
-    def compute_wait_ms(self, group: Group, position: int, now_ms: int) -> float:
-        """Return the expected wait of a late request behind `position` others."""
-        return (position + 1) / self._compute_late_rate(group, now_ms) * _MS_PER_S
-
     def announce_return(self, kind: WaiterKind, wait_ms: float, now_ms: int) -> int:
         """Return in how many milliseconds a refused caller should come back.
 
@@ -90,7 +86,8 @@
         returns.last_return_ms = min(return_ms, now_ms + _MAX_RETURN_MS)
         return int(returns.last_return_ms - now_ms)
 
-    def _compute_late_rate(self, group: Group, now_ms: int) -> float:
+    def compute_late_rate(self, group: Group, now_ms: int) -> float:
+        """Return the rate per second at which late requests are expected to get capacity."""
         late_placements, placements = self._late_placements.get(group), self._placements.get(group)
         recent_rate = late_placements.compute_rate(now_ms) if late_placements else 0.0
         peak_rate = placements.compute_recent_peak(now_ms) if placements else 0.0
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -23,19 +23,26 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-from waxwingshelf.steering.fair_order import PLACED_USAGE, FairMerge
+from waxwingshelf.steering.fair_order import FairMerge
 from waxwingshelf.steering.wait_estimates import Group, WaiterKind, WaitEstimates
 
 __all__ = ["WaitQueue", "Waiter"]
 
 _T = TypeVar("_T")
 _DEFAULT_MAX_WAITING = 2_000
-# A try costs some ten microseconds. A target's slots are filled by far fewer requests than this.
-_MAX_FAILED_TRIES_PER_GROUP = 32
-_MAX_TRIES_IN_TURN = 32
+_MS_PER_S = 1_000
+# A try costs some ten microseconds, and a round should cost less than a millisecond.
+_MAX_FAILED_TRIES_PER_GROUP = 16
+_MAX_TRIES_IN_TURN = 16
 # Requests looked at in one round, including those that certainly cannot be placed.
 _MAX_EXAMINED = 512
+# If more organisations wait, a new request joins the queue without a comparison of all shares.
+_MAX_COMPARED_SHARES = 16
 _MIN_COMPACTION_SIZE = 64
+# A judgement of 2,000 late requests takes about 8 ms, and is then made every 200 ms.
+_JUDGED_LATE_PER_MS = 10
+# Each organisation that waits adds about 5 microseconds to a round.
+_STREAMS_PER_DISTANCE_MS = 16
 # Less urgent requests leave headroom for this long after a more urgent one has waited.
 _HEADROOM_MS = 1_000
 
@@ -89,7 +96,8 @@
 class _Round(Generic[_T]):
     """One round of tries to place requests."""
 
-    def __init__(self, place: Callable[[Waiter[_T]], bool]) -> None:
+    def __init__(self, now_ms: int, place: Callable[[Waiter[_T]], bool]) -> None:
+        self._now_ms = now_ms
         self._place = place
         self._failures: dict[Group, int] = {}
         # The sequence of the oldest request that could not be placed, by choice.
@@ -108,6 +116,8 @@
         failed_sequence = self._failed_choices.get(waiter.choice)
         if failed_sequence is not None and failed_sequence < waiter.sequence:
             return False
+        if self._now_ms > waiter.latest_send_ms:
+            return False
         if self._place(waiter):
             self.placed.append(waiter)
             return True
@@ -144,6 +154,8 @@
         # When a request of this priority, route's priority and group waited last.
         self._last_waits_ms: dict[tuple[int, int, Group], int] = {}
         self._estimates = WaitEstimates()
+        self._late_count = 0
+        self._judged_at_ms = -_MS_PER_S
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -152,6 +164,10 @@
         """Return whether the queue has reached its maximum length."""
         return len(self._waiters) >= self._max_waiting
 
+    def compute_round_distance_ms(self) -> int:
+        """Return the least time between two rounds, so that many organisations cost no more."""
+        return sum(map(len, self._tiers.values())) // _STREAMS_PER_DISTANCE_MS
+
     def add(self, waiter: Waiter[_T]) -> bool:
         """Add a request; return False if the queue is full."""
         if self.is_full():
@@ -171,17 +187,26 @@
             self._take_out(waiter)
 
     def expire(self, now_ms: int) -> list[Waiter[_T]]:
-        """Remove and return the requests that will probably miss their deadline."""
+        """Remove and return the requests that will probably miss their deadline.
+
+        If many late requests wait, they are judged only now and then.
+        """
         self._move_late(now_ms)
+        if now_ms - self._judged_at_ms < self._late_count // _JUDGED_LATE_PER_MS:
+            return []
+        self._judged_at_ms = now_ms
         expired: list[Waiter[_T]] = []
         positions: dict[Group, int] = {}
+        rates: dict[Group, float] = {}
         for tier in sorted(self._tiers):
             if not tier[0]:
                 continue
             merge = self._merge(tier, now_ms)
             while (waiter := merge.pop(set())) is not None:
                 position = positions.get(waiter.group, 0)
-                wait_ms = self._estimates.compute_wait_ms(waiter.group, position, now_ms)
+                if waiter.group not in rates:
+                    rates[waiter.group] = self._estimates.compute_late_rate(waiter.group, now_ms)
+                wait_ms = (position + 1) / rates[waiter.group] * _MS_PER_S
                 if now_ms + wait_ms <= waiter.latest_send_ms:
                     positions[waiter.group] = position + 1
                     merge.record_placed(waiter.organisation)
@@ -207,23 +232,21 @@
         self._move_late(now_ms)
         own_tier = _find_tier(waiter, now_ms)
         for tier, buckets in self._tiers.items():
-            if tier > own_tier:
-                continue
-            for bucket in buckets.values():
-                if not _compete(bucket.group, waiter.group):
-                    continue
-                if tier < own_tier or self._has_no_larger_share(bucket, waiter, now_ms):
-                    return True
-        return False
+            if tier < own_tier and any(
+                _compete(bucket.group, waiter.group) for bucket in buckets.values()
+            ):
+                return True
+        return self._has_preceding_share(waiter, self._tiers.get(own_tier, {}), now_ms)
 
     def estimate_position(self, waiter: Waiter[_T], now_ms: int) -> int:
-        """Return how many waiting requests go before a new one and compete for its targets."""
+        """Return how many waiting requests go before a new one and compete for its targets.
+
+        The organisations' usage at present is left out, since it costs more to compute.
+        """
         self._move_late(now_ms)
         own_tier = _find_tier(waiter, now_ms)
         own_bucket = self._tiers.get(own_tier, {}).get((waiter.organisation, waiter.group))
         own_waiting = len(own_bucket.waiters) if own_bucket else 0
-        usage = self._compute_usage(waiter.organisation, now_ms)
-        share = (usage + own_waiting * PLACED_USAGE) / waiter.weight
         position = 0
         for tier, buckets in self._tiers.items():
             for bucket in buckets.values():
@@ -232,15 +255,15 @@
                 if tier < own_tier or bucket.organisation == waiter.organisation:
                     position += len(bucket.waiters)
                     continue
-                usage = self._compute_usage(bucket.organisation, now_ms)
-                before = int((share * bucket.weight - usage) / PLACED_USAGE) + 1
-                position += min(len(bucket.waiters), max(0, before))
+                before = int((own_waiting + 1) * bucket.weight / waiter.weight)
+                position += min(len(bucket.waiters), before)
         return position
 
     def announce_return(self, waiter: Waiter[_T], now_ms: int) -> int:
         """Return in how many milliseconds the caller of a request that was not added may return."""
         waiter.position = self.estimate_position(waiter, now_ms)
-        wait_ms = self._estimates.compute_wait_ms(waiter.group, waiter.position, now_ms)
+        late_rate = self._estimates.compute_late_rate(waiter.group, now_ms)
+        wait_ms = (waiter.position + 1) / late_rate * _MS_PER_S
         return self._estimates.announce_return(waiter.kind, wait_ms, now_ms)
 
     def needs_headroom(self, waiter: Waiter[_T], now_ms: int) -> bool:
@@ -259,7 +282,7 @@
     def place_waiting(self, now_ms: int, place: Callable[[Waiter[_T]], bool]) -> None:
         """Call `place` for requests in send order; those that it accepts leave the queue."""
         self._move_late(now_ms)
-        current_round = _Round(place)
+        current_round = _Round(now_ms, place)
         try:
             self._place_in_order(current_round, now_ms)
             self._place_in_turn(current_round)
@@ -323,11 +346,23 @@
             merge.add(bucket.organisation, bucket.weight, usage, bucket.group, waiters)
         return merge
 
-    def _has_no_larger_share(self, bucket: _Bucket[_T], waiter: Waiter[_T], now_ms: int) -> bool:
-        if bucket.organisation == waiter.organisation:
+    def _has_preceding_share(
+        self,
+        waiter: Waiter[_T],
+        buckets: dict[tuple[str, Group], _Bucket[_T]],
+        now_ms: int,
+    ) -> bool:
+        """Return whether an organisation in these buckets goes before that of a new request."""
+        if len(buckets) > _MAX_COMPARED_SHARES:
+            return True
+        if (waiter.organisation, waiter.group) in buckets:
             return True
-        share = self._compute_usage(bucket.organisation, now_ms) / bucket.weight
-        return share <= self._compute_usage(waiter.organisation, now_ms) / waiter.weight
+        own_share = self._compute_usage(waiter.organisation, now_ms) / waiter.weight
+        return any(
+            _compete(bucket.group, waiter.group)
+            and self._compute_usage(bucket.organisation, now_ms) / bucket.weight <= own_share
+            for bucket in buckets.values()
+        )
 
     def _record_waits(self, now_ms: int) -> None:
         for (_, priority, route_priority), buckets in self._tiers.items():
@@ -357,10 +392,12 @@
             bucket = buckets[key] = _Bucket(waiter.organisation, waiter.group, waiter.weight)
         bucket.weight = waiter.weight
         bucket.waiters[waiter.sequence] = waiter
+        self._late_count += tier[0]
         self._tier_by_sequence[waiter.sequence] = tier
 
     def _take_out(self, waiter: Waiter[_T]) -> None:
         tier = self._tier_by_sequence.pop(waiter.sequence)
+        self._late_count -= tier[0]
         buckets = self._tiers[tier]
         key = (waiter.organisation, waiter.group)
         del buckets[key].waiters[waiter.sequence]
