--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -16,6 +16,7 @@
 from waxwingshelf.steering.config import RouteKind, RouteRule
 from waxwingshelf.steering.distances import ResponseSize
 from waxwingshelf.steering.durations import RouteDurations
+from waxwingshelf.steering.fair_order import OrganisationLoads
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.load_reports import DurationAverage
@@ -48,6 +49,7 @@
     sent_ms: int
     speed: SpeedEstimate = UNKNOWN_SPEED
     download_bytes: int = 0
+    organisation: str = ""
 
     @property
     def state(self) -> TargetState:
@@ -85,6 +87,7 @@
         self._response_sizes: dict[str, ResponseSize] = {}
         self._attempt_numbers = itertools.count()
         self.duration_average = DurationAverage()
+        self.organisation_loads = OrganisationLoads()
         self.placer = Placer(locality, routing_state.targets)
 
     def apply_settings(self, locality: Locality, bounds: Bounds) -> None:
@@ -149,21 +152,28 @@
         """Return whether this instance has room for the response to a download."""
         return self._response_room.has_room_for_download(download_bytes)
 
-    def start_attempt(self, placement: Placement, download_bytes: int = 0) -> Attempt:
-        """Add a request to the target's in-flight requests."""
+    def start_attempt(
+        self, placement: Placement, organisation: str = "", download_bytes: int = 0
+    ) -> Attempt:
+        """Add a request to the in-flight requests of the target and of the organisation."""
         number, now_ms = next(self._attempt_numbers), self._clock.now_ms()
         speed = placement.state.speed.estimate(now_ms)
-        attempt = Attempt(placement, number, now_ms, speed, download_bytes)
+        attempt = Attempt(placement, number, now_ms, speed, download_bytes, organisation)
         attempt.state.in_flight[attempt.number] = attempt.sent_ms
+        self.organisation_loads.start(attempt.state.target.service, organisation, now_ms)
         if download_bytes:
             attempt.state.downloads += 1
             self._response_room.expect(download_bytes)
         return attempt
 
     def finish_attempt(self, attempt: Attempt) -> None:
-        """Remove a request from the target's in-flight requests."""
-        is_in_flight = attempt.state.in_flight.pop(attempt.number, None) is not None
-        if is_in_flight and attempt.download_bytes:
+        """Remove a request from the in-flight requests."""
+        if attempt.state.in_flight.pop(attempt.number, None) is None:
+            return
+        self.organisation_loads.finish(
+            attempt.state.target.service, attempt.organisation, self._clock.now_ms()
+        )
+        if attempt.download_bytes:
             attempt.state.downloads -= 1
             self._response_room.stop_expecting(attempt.download_bytes)
 
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -146,6 +146,10 @@
         self.is_watching: Callable[[], bool] = lambda: True
         self.get_mean_duration_ms: Callable[[], float | None] = lambda: None
         self.on_shares_updated: Callable[[], None] = lambda: None
+        self.list_organisation_loads: Callable[[], dict[int, int]] = dict
+        self.record_organisation_loads: Callable[[str, dict[int, int], int, int], None] = (
+            lambda name, counts, valid_until_ms, now_ms: None
+        )
         self.address = PeerAddress(
             name=settings.name,
             region=settings.region,
@@ -269,6 +273,7 @@
                 targets.count_in_flight(),
                 choose_validity_ms(period_ms),
                 targets.list_slowness(self._clock.now_ms(), max_age_ms),
+                self.list_organisation_loads(),
             )
             self._send_load_report(report)
 
@@ -338,6 +343,9 @@
             targets.record_peer_loads(report.name, report.loads, valid_until_ms)
             reported_at_ms = now_ms - estimate_slowness_age_ms(report.validity_ms)
             targets.record_peer_slowness(report.slowness, reported_at_ms)
+            self.record_organisation_loads(
+                report.name, report.organisations, valid_until_ms, now_ms
+            )
 
     def _choose_recipients(self) -> list[Peer]:
         return self._fleet.choose_heartbeat_recipients(self.address.region, self._rng)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -34,6 +34,7 @@
 from waxwingshelf.serving.upstream import OutgoingRequest, UpstreamResponse
 from waxwingshelf.steering.attempts import Attempts
 from waxwingshelf.steering.config import OrganisationRule, RouteRule, SteeringConfig
+from waxwingshelf.steering.fair_order import OrganisationWeights
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
 from waxwingshelf.steering.routes import (
     choose_service,
@@ -83,6 +84,7 @@
         self._clock = clock
         self._metrics = metrics
         self.regions = regions
+        self._weights = OrganisationWeights()
         self.refusing_requests = False
         self.closing_connections = False
         self.in_flight = 0
@@ -130,6 +132,7 @@
             return organisation
         exchange = self._build_exchange(request, request_id, route, organisation, started_ms)
         exchange.outgoing.hold = hold
+        exchange.weight = self._weights.get(config, organisation)
         self._dispatch_state.record_request(exchange.service)
         admission = await self._admit(organisation)
         if isinstance(admission, Refusal):
@@ -277,7 +280,7 @@
         fingerprint=exchange.outgoing.fingerprint,
         route=exchange.route.name,
         object=exchange.object_key.partition("\0")[2],
-        organisation=exchange.outgoing.headers.get(ORGANISATION_HEADER, ""),
+        organisation=exchange.organisation,
         target=upstream_response.target_id,
         status=upstream_response.status,
         sends=exchange.attempts.sends,
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -16,6 +16,7 @@
 from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.steering.distances import compute_distance_ms, compute_domain_weight
 from waxwingshelf.steering.durations import RouteDurations
+from waxwingshelf.steering.fair_order import compute_headroom
 from waxwingshelf.steering.scarcity import ScarceRegions
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
 
@@ -64,7 +65,9 @@
 
     An empty `allowed_regions` allows all regions. `sticky` requests for one `object_key` are
     limited to a few targets. `response_bytes` is the usual size of the route's responses. A
-    `download` prefers the targets of the instance's failure domain.
+    `download` prefers the targets of the instance's failure domain. A request that
+    `leaves_headroom` does not use a target's last free slots, which are left to more urgent
+    requests.
     """
 
     service: str
@@ -77,6 +80,7 @@
     waited_ms: int = 0
     response_bytes: float = 0.0
     download: bool = False
+    leaves_headroom: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,6 +314,8 @@
     slots = candidate.state.target.slots
     if request.download and candidate.state.downloads >= slots:
         return False
+    if request.leaves_headroom and candidate.load >= slots - compute_headroom(slots):
+        return False
     if candidate.warm:
         return candidate.load < slots * (1.0 + _MAX_QUEUE_FRACTION)
     return candidate.load < slots * _MAX_COLD_FILL
