End a shutdown although a connection does not close

Cause: an instance closes its connections to targets at the end of its grace period and waited for all of them. One with unsent bytes on a cut link closes when TCP gives it up, after 2 s, so the process was killed at the end of its grace time.

Change: closing takes at most 0.2 s; what is left ends with the process. Event connections_not_closed.

Shown by: tests/serving/test_shutdown.py failed before (still running after 4 s) and passes.

--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -68,6 +68,8 @@
 # a directory response for up to three times its time to live.
 _REFUSE_NEW_AFTER_S = 2.9
 _SHUTDOWN_MARGIN_S = 0.5
+# A connection with unsent bytes closes only when they are sent or its link is given up.
+_CLOSE_TIMEOUT_S = 0.2
 _LISTEN_BACKLOG = 1_024
 _MS_PER_S = 1_000
 _log = structlog.get_logger("instance")
@@ -363,11 +365,15 @@
         deregistration.cancel()
 
     async def _close(self, session: aiohttp.ClientSession) -> None:
+        """Close everything; connections that do not close in time end with the process."""
         self._rate_limiter.close()
         self._crash_detector.close()
-        await self._upstream.close()
-        await self._peer_network.close()
-        await session.close()
+        closing = (self._upstream.close(), self._peer_network.close(), session.close())
+        try:
+            async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+                await asyncio.gather(*closing)
+        except TimeoutError:
+            _log.warning("connections_not_closed", timeout_s=_CLOSE_TIMEOUT_S)
 
 
 def _build_locality(settings: InstanceSettings) -> Locality:
