Let the speed that targets report decide placement while it is fresh

Cause: targets share their machines, and a seventh of them is 2.5 times slower for some 600 ms. The moving average of durations (half-life 4 s) follows too late, and takes the slowdown for a property of the target and the route.

Change: a new module steering/target_speed.py. The figure in Server-Load counts by its age; how long unusual speeds last, and which part of the figures durations confirm, is learned over all targets. Durations are corrected by the figure known at the send, and by that in the response as far as none was known. Load reports pass on fresh figures that are unusual or new; those of the first second of a new run of a target are ignored. Metric waxwingshelf_target_slowness, field slowness in answered lines.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -10,6 +10,7 @@
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.platform.settings import Bounds
+from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.upstream import FailureKind, SendFailure, UpstreamResponse
 from waxwingshelf.steering.config import RouteRule
@@ -21,6 +22,7 @@
 from waxwingshelf.steering.target_limits import TargetRateShare
 from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import NamedLimit, TargetReport
+from waxwingshelf.steering.target_speed import UNKNOWN_SPEED, SpeedEstimate
 from waxwingshelf.steering.targets import TargetState
 
 __all__ = ["Attempt", "DispatchState"]
@@ -30,11 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One send of a request to a target, with the placement that chose the target."""
+    """One send of a request to a target, with the placement that chose the target.
+
+    `speed` is the reported speed of the target when the request was sent.
+    """
 
     placement: Placement
     number: int
     sent_ms: int
+    speed: SpeedEstimate = UNKNOWN_SPEED
 
     @property
     def state(self) -> TargetState:
@@ -56,12 +62,14 @@
         routing_state: RoutingState,
         fleet: Fleet,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._instance_name = instance_name
         self._bounds = bounds
         self._routing_state = routing_state
         self._fleet = fleet
         self._clock = clock
+        self._metrics = metrics
         self._cold_limiter = ColdTargetLimiter(instance_name)
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._durations: dict[str, RouteDurations] = {}
@@ -118,7 +126,9 @@
 
     def start_attempt(self, placement: Placement) -> Attempt:
         """Add a request to the target's in-flight requests."""
-        attempt = Attempt(placement, next(self._attempt_numbers), self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        speed = placement.state.speed.estimate(now_ms)
+        attempt = Attempt(placement, next(self._attempt_numbers), now_ms, speed)
         attempt.state.in_flight[attempt.number] = attempt.sent_ms
         return attempt
 
@@ -153,6 +163,8 @@
             _log.info("target_resumed", target=state.target.id, service=state.target.service)
         if report.load is not None:
             state.record_load(report.load, now_ms, len(state.in_flight) - own_requests)
+            if report.load.slowness is not None:
+                self._metrics.target_slowness.observe(report.load.slowness)
         if report.limit is not None:
             self._record_limit(state, report.limit, now_ms)
 
@@ -234,10 +246,12 @@
         self, route: RouteRule, attempt: Attempt, elapsed_ms: int, now_ms: int
     ) -> None:
         self.duration_average.record(elapsed_ms)
-        placement = attempt.placement
-        attempt.state.record_duration(elapsed_ms / placement.typical_ms, now_ms)
-        if placement.load < attempt.state.target.slots:
-            self.get_durations(route).record(elapsed_ms, placement.warm)
+        placement, state = attempt.placement, attempt.state
+        run_slowness = state.speed.estimate_run(attempt.speed, attempt.sent_ms, now_ms)
+        state.record_duration(elapsed_ms / placement.typical_ms, now_ms, run_slowness)
+        if placement.load < state.target.slots:
+            usual_ms = round(elapsed_ms / state.speed.compute_run_factor(run_slowness))
+            self.get_durations(route).record(usual_ms, placement.warm)
 
     def _get_retry_budget(self, service: str) -> RetryBudget:
         budget = self._retry_budgets.get(service)
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -111,7 +111,13 @@
         )
         locality = _build_locality(settings)
         self._dispatch_state = dispatch_state = DispatchState(
-            settings.name, locality, settings.bounds, self._routing_state, self._fleet, clock
+            settings.name,
+            locality,
+            settings.bounds,
+            self._routing_state,
+            self._fleet,
+            clock,
+            metrics,
         )
         self._prober = ReachabilityProber(
             self._target_contact,
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -8,6 +8,7 @@
 __all__ = ["Metrics"]
 
 _DURATION_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0)
+_SLOWNESS_BUCKETS = (0.8, 1.0, 1.25, 1.5, 2.0, 2.5, 3.0, 4.0, 8.0)
 
 
 class Metrics:
@@ -64,6 +65,12 @@
             ["result"],
             registry=registry,
         )
+        self.target_slowness = Histogram(
+            "waxwingshelf_target_slowness",
+            "How many times longer than usual work takes, as responses of targets report it.",
+            buckets=_SLOWNESS_BUCKETS,
+            registry=registry,
+        )
         self.target_silence = Gauge(
             "waxwingshelf_target_silence_seconds",
             "Time since this instance last heard from any target.",
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -48,7 +48,12 @@
 )
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, LoadReport, Peer, PeerAddress
-from waxwingshelf.steering.load_reports import choose_period_ms, choose_validity_ms
+from waxwingshelf.steering.load_reports import (
+    choose_period_ms,
+    choose_slowness_max_age_ms,
+    choose_validity_ms,
+    estimate_slowness_age_ms,
+)
 from waxwingshelf.steering.mirror import Change, Position
 from waxwingshelf.steering.sent_demand import DemandAck
 
@@ -255,13 +260,15 @@
             period_ms = choose_period_ms(self.get_mean_duration_ms())
             await asyncio.sleep(period_ms / _MS_PER_S * self._rng.uniform(0.9, 1.1))
             self._load_report_number += 1
-            loads = self._routing_state.targets.count_in_flight()
+            targets = self._routing_state.targets
+            max_age_ms = choose_slowness_max_age_ms(period_ms)
             report = LoadReport(
                 self.address.name,
                 self._boot,
                 self._load_report_number,
-                loads,
+                targets.count_in_flight(),
                 choose_validity_ms(period_ms),
+                targets.list_slowness(self._clock.now_ms(), max_age_ms),
             )
             self._send_load_report(report)
 
@@ -327,7 +334,10 @@
         if self._fleet.record_load_report(report):
             now_ms = self._clock.now_ms()
             valid_until_ms = now_ms + report.validity_ms
-            self._routing_state.targets.record_peer_loads(report.name, report.loads, valid_until_ms)
+            targets = self._routing_state.targets
+            targets.record_peer_loads(report.name, report.loads, valid_until_ms)
+            reported_at_ms = now_ms - estimate_slowness_age_ms(report.validity_ms)
+            targets.record_peer_slowness(report.slowness, reported_at_ms)
 
     def _choose_recipients(self) -> list[Peer]:
         return self._fleet.choose_heartbeat_recipients(self.address.region, self._rng)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -272,6 +272,7 @@
         load=attempt.placement.load,
         slots=attempt.state.target.slots,
         cost_ms=int(attempt.placement.cost_ms),
+        slowness=attempt.state.speed.find_recent(now_ms),
         elapsed_ms=now_ms - started_ms,
         objective_ms=exchange.route.latency_objective_ms,
     )
--- a/src/waxwingshelf/steering/load_reports.py
+++ b/src/waxwingshelf/steering/load_reports.py
@@ -7,7 +7,14 @@
 
 from __future__ import annotations
 
-__all__ = ["DEFAULT_VALIDITY_MS", "DurationAverage", "choose_period_ms", "choose_validity_ms"]
+__all__ = [
+    "DEFAULT_VALIDITY_MS",
+    "DurationAverage",
+    "choose_period_ms",
+    "choose_slowness_max_age_ms",
+    "choose_validity_ms",
+    "estimate_slowness_age_ms",
+]
 
 _MIN_PERIOD_MS = 100
 _MAX_PERIOD_MS = 300
@@ -17,6 +24,9 @@
 _VALID_PERIODS = 6
 DEFAULT_VALIDITY_MS = _VALID_PERIODS * _MIN_PERIOD_MS
 _SMOOTHING_FACTOR = 0.05
+# A figure of a target's speed is in the reports of this many periods, since one may be lost, and
+# since a large fleet sends each to some peers only.
+_SLOWNESS_PERIODS = 2
 
 
 class DurationAverage:
@@ -45,3 +55,14 @@
 def choose_validity_ms(period_ms: int) -> int:
     """Return how long a report counts whose sender sends one each period."""
     return _VALID_PERIODS * period_ms
+
+
+def choose_slowness_max_age_ms(period_ms: int) -> int:
+    """Return the maximum age of the targets' figures in a report that is sent each period."""
+    return _SLOWNESS_PERIODS * period_ms
+
+
+def estimate_slowness_age_ms(validity_ms: int) -> int:
+    """Return the mean age of the targets' figures in a report that counts for `validity_ms`."""
+    period_ms = min(_MAX_PERIOD_MS, max(_MIN_PERIOD_MS, validity_ms // _VALID_PERIODS))
+    return choose_slowness_max_age_ms(period_ms) // 2
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -9,6 +9,7 @@
 from waxwingshelf.steering.target_limits import TargetRateShare
 from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import Load
+from waxwingshelf.steering.target_speed import SpeedModel, TargetSpeed
 
 __all__ = [
     "PeerLoad",
@@ -28,6 +29,12 @@
 _WARM_TTL_MS = 8_000
 _MASS_REMOVAL_FRACTION = 0.34
 _MAX_REMOVED_TARGETS = 1_024
+# Peers learn of a new run of a target within this time; their reports until then may be of the
+# earlier run.
+_NEW_RUN_DELAY_MS = 1_000
+_MAX_SLOWNESS_ENTRIES = 32
+_MIN_SLOWNESS = 0.01
+_PERCENT = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +84,8 @@
     object to the time at which the target last handled it; the oldest entries come first.
     `rate_share` is this instance's share of the rate limit that the target names, if it names one.
     `leaving` is set once a response has said that the target's run will end. `pause` is what a
-    response asked for and no later one has ended. Times are readings of the instance's clock.
+    response asked for and no later one has ended. Peers' reports of its speed count from
+    `peer_speed_from_ms`. Times are readings of the instance's clock.
     """
 
     target: Target
@@ -96,6 +104,8 @@
     rate_share: TargetRateShare | None = None
     leaving: bool = False
     pause: TargetPause | None = None
+    speed: TargetSpeed = field(default_factory=TargetSpeed)
+    peer_speed_from_ms: int = 0
 
     def is_cold(self, now_ms: int) -> bool:
         """Return whether the target is limited to its cold rate."""
@@ -152,13 +162,21 @@
         """Return the ratio of a request's duration at this target to the expected duration.
 
         Half the age of the oldest request in flight counts as a duration too, so that an
-        unresponsive target is detected early.
+        unresponsive target is detected early. A reported slowness replaces these estimates as far
+        as it is recent. Reports to peers do not tell whether the target answers this instance.
         """
-        slowness = self._compute_decayed_slowness(now_ms)
+        average = self._compute_decayed_slowness(now_ms)
+        unresponsiveness = 0.0
         if self.in_flight:
             oldest_ms = now_ms - next(iter(self.in_flight.values()))
-            slowness = max(slowness, oldest_ms / expected_ms / 2)
-        return slowness
+            unresponsiveness = oldest_ms / expected_ms / 2
+        slowness = max(average, unresponsiveness)
+        speed = self.speed
+        weight = speed.compute_weight(now_ms)
+        if weight == 0:
+            return slowness
+        slowness += weight * speed.model.trust * (average * speed.slowness - slowness)
+        return slowness if speed.own else max(slowness, unresponsiveness)
 
     def _compute_decayed_slowness(self, now_ms: int) -> float:
         decay_factor = _decay(now_ms - self.slowness_at_ms, _SLOWNESS_HALF_LIFE_MS)
@@ -178,6 +196,8 @@
         self.reported_load = load.running + load.waiting
         self.reported_at_ms = now_ms
         self.in_flight_at_report = in_flight
+        if load.slowness is not None:
+            self.speed.record_report(load.slowness, now_ms)
 
     def record_outcome(self, failed: bool, now_ms: int) -> None:
         """Update the failure rate with the outcome of one attempt."""
@@ -185,9 +205,16 @@
         self.failure_rate = rate + _SMOOTHING_FACTOR * ((1.0 if failed else 0.0) - rate)
         self.failure_rate_at_ms = now_ms
 
-    def record_duration(self, ratio: float, now_ms: int) -> None:
-        """Update the slowness with a response that took `ratio` times the expected time."""
+    def record_duration(self, ratio: float, now_ms: int, run_slowness: float = 1.0) -> None:
+        """Update the slowness with a response that took `ratio` times the expected time.
+
+        `run_slowness` is the reported slowness during the request; see `TargetSpeed.estimate_run`.
+        It is not learned as a property of the target.
+        """
         slowness = self._compute_decayed_slowness(now_ms)
+        if self.speed.reported_at_ms is not None:
+            self.speed.model.record_run(run_slowness, ratio / max(slowness, _MIN_SLOWNESS))
+            ratio /= self.speed.compute_run_factor(run_slowness)
         self.slowness = slowness + _SMOOTHING_FACTOR * (ratio - slowness)
         self.slowness_at_ms = now_ms
 
@@ -227,12 +254,16 @@
         self._indexed_version = 0
         self.version = 0
         self.pauses = 0
+        self._speed_model = SpeedModel()
 
     def put(self, target: Target, now_ms: int) -> None:
         """Add or update a target; a restarted target loses its recorded state."""
         state = self._states.get(target.id) or self._removed.pop(target.id, None)
-        if state is None or _is_new_run(state.target, target):
-            state = TargetState(target)
+        if state is None:
+            state = TargetState(target, speed=TargetSpeed(self._speed_model))
+        elif _is_new_run(state.target, target):
+            state = TargetState(target, speed=TargetSpeed(self._speed_model))
+            state.peer_speed_from_ms = now_ms + _NEW_RUN_DELAY_MS
         self._states[target.id] = state
         state.target = target
         if target.cold_for_ms > 0:
@@ -320,6 +351,31 @@
             if state.in_flight
         }
 
+    def list_slowness(self, now_ms: int, max_age_ms: int) -> dict[int, int]:
+        """Return the figures that peers should know, in percent by hash of the target id.
+
+        These are fresh reports to this instance that are unusual or differ from the figure before.
+        Of many, those that differ most from usual are returned.
+        """
+        self._rebuild_indexes()
+        notable = {
+            id_hash: round(slowness * _PERCENT)
+            for id_hash, state in self._by_id_hash.items()
+            if (slowness := state.speed.find_notable(now_ms, max_age_ms)) is not None
+        }
+        if len(notable) <= _MAX_SLOWNESS_ENTRIES:
+            return notable
+        ranked = sorted(notable.items(), key=lambda item: -abs(item[1] - _PERCENT))
+        return dict(ranked[:_MAX_SLOWNESS_ENTRIES])
+
+    def record_peer_slowness(self, slowness: dict[int, int], reported_at_ms: int) -> None:
+        """Take over figures that a peer passed on, in percent by hash of the target id."""
+        self._rebuild_indexes()
+        for id_hash, percent in slowness.items():
+            state = self._by_id_hash.get(id_hash)
+            if state is not None and reported_at_ms >= state.peer_speed_from_ms:
+                state.speed.record_peer_report(percent / _PERCENT, reported_at_ms)
+
     def record_peer_loads(self, peer: str, loads: dict[int, int], valid_until_ms: int) -> None:
         """Replace the numbers of a peer's requests in flight, given by hash of the target id."""
         self._rebuild_indexes()
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -54,10 +54,11 @@
     `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
     caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
     and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
-    set. A request whose path contains `deadly_text` crashes the target, which listens again after
-    `restart_delay_s`. Before each response, the target sends `foreign_responses`, which belong to
-    other requests, and a second copy of the response before if `repeats_late` is set; after them it
-    pauses for `foreign_pause_s`. `on_crash` and `on_restart` are called with each crash.
+    set. Responses report `percent` as the current duration of work if it is set. A request whose
+    path contains `deadly_text` crashes the target, which listens again after `restart_delay_s`.
+    Before each response, the target sends `foreign_responses`, which belong to other requests, and
+    a second copy of the response before if `repeats_late` is set; after them it pauses for
+    `foreign_pause_s`. `on_crash` and `on_restart` are called with each crash.
     """
 
     def __init__(self, target_id: str, work_s: float = 0.0) -> None:
@@ -66,6 +67,7 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         self.pause_s: float | None = None
+        self.percent: int | None = None
         self.idle_timeout_s: int | None = None
         self.deadly_text: str | None = None
         self.restart_delay_s = 1.0
@@ -182,7 +184,8 @@
 
     async def _send_response(self, writer: asyncio.StreamWriter, request_id: str) -> bool:
         own_headers = self._list_own_headers()
-        signed_headers = ["Server-Signature: ok", "Server-Load: 1,0,4", *own_headers]
+        load = "1,0,4" if self.percent is None else f"1,0,4,{self.percent}"
+        signed_headers = ["Server-Signature: ok", f"Server-Load: {load}", *own_headers]
         if self.response_mode in _ENDLESS_PARTS:
             await _send_endless(writer, request_id, self.response_mode)
             return False
