Let a malformed value cost only its own entry in all decoders

Cause: one mistyped figure in the configuration kept the whole version out of force, one mistyped bound kept an instance from starting, and a changed optional field of a peer's datagram cost the whole datagram. A value of infinity or a port out of range passed the decoders.

Change: platform/tolerant_decoding.py converts documents field by field when they do not decode as a whole; an optional field with a malformed value gets the value that allows the least, with one config_value_unknown or settings_value_unknown line. serving/tolerant_messages.py does the same for heartbeats and load reports (message_value_rejected, once for each field). API keys are never logged. Required fields still reject the document or datagram, as the existing tests ask. Target entries with a port out of range are rejected.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import json
+from collections.abc import Iterable, Iterator
+from typing import Annotated, Any
+
 import msgspec
 
 from waxwingshelf.platform.names import (
@@ -10,6 +14,7 @@
     QUARANTINE_PREFIX,
     TARGET_PREFIX,
 )
+from waxwingshelf.platform.tolerant_decoding import FieldName, TolerantConverter
 from waxwingshelf.steering.config import (
     CallerLimits,
     Destination,
@@ -47,6 +52,13 @@
 # Requests of a kind that this build does not know are never sent again.
 _UNKNOWN_KIND = RouteKind.UNSAFE
 _MS_PER_S = 1_000
+# No service and no region has this name, so that requests are refused.
+_NO_NAME = ""
+_LOWEST_PRIORITY = 1_000_000
+_MAX_PORT = 65_535
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Excludes what is not finite.
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
 
 class DecodeError(ValueError):
@@ -54,24 +66,24 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 67_108_864
+    header_timeout_ms: _Count = 3_000
+    idle_timeout_ms: _Count = 15_000
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
     priority: int | None = None
-    rate_per_s: float | None = None
-    burst: float | None = None
+    rate_per_s: _Amount | None = None
+    burst: _Amount | None = None
     home_regions: list[str] | None = None
 
 
 class _SplitPart(msgspec.Struct):
     service: str
-    weight: float = 1
+    weight: _Amount = 1
 
 
 class _Match(msgspec.Struct):
@@ -81,18 +93,18 @@
 class _Action(msgspec.Struct):
     service: str | None = None
     traffic_split: list[_SplitPart] | None = None
-    timeout_ms: float | None = None
+    timeout_ms: _Amount | None = None
     attempts: int | None = None
     home_regions: list[str] | None = None
 
 
 class _Rule(msgspec.Struct):
     name: str
-    kind: str
     match: _Match
-    action: _Action
+    kind: str = ""
+    action: _Action = msgspec.field(default_factory=_Action)
     # The latency objective: a response within this time earns full credit.
-    target_latency_ms: float | None = None
+    target_latency_ms: _Amount | None = None
     priority: int | None = None
     public: bool | None = None
     sticky: bool | None = None
@@ -108,8 +120,8 @@
     name: str
     health_path: str = "/health"
     max_connections: int | None = None
-    cold_start_s: float | None = None
-    cold_per_s: float | None = None
+    cold_start_s: _Amount | None = None
+    cold_per_s: _Amount | None = None
 
 
 class _Config(msgspec.Struct):
@@ -129,7 +141,7 @@
 
 class _Status(msgspec.Struct):
     state: str
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: _Amount = 0
     # Counts what the target has said of itself since its start.
     sequence: int = 0
 
@@ -146,12 +158,35 @@
 _SERVER_DECODER = msgspec.json.Decoder(_Server)
 _MEMBER_DECODER = msgspec.json.Decoder(PeerAddress)
 _QUARANTINE_DECODER = msgspec.json.Decoder(Quarantine)
+# What a malformed value allows at most. Without one, or with the default, it would allow more.
+_STRICT_VALUES: dict[FieldName, Any] = {
+    (_Tenant, "rate_per_s"): 1.0,
+    (_Tenant, "burst"): 1.0,
+    (_Tenant, "priority"): _LOWEST_PRIORITY,
+    (_Tenant, "home_regions"): [_NO_NAME],
+    (_SplitPart, "weight"): 0.0,
+    (_Action, "home_regions"): [_NO_NAME],
+    (_Rule, "kind"): _UNKNOWN_KIND.value,
+    (_Rule, "priority"): _LOWEST_PRIORITY,
+    (_Cluster, "cold_start_s"): 3.0,
+    (_Cluster, "cold_per_s"): 1.0,
+}
+# With the defaults of these, keys and routes would be missing.
+_REQUIRED: tuple[FieldName, ...] = (
+    (_Config, "tenants"),
+    (_Config, "listeners"),
+    (_Config, "clusters"),
+    (_Listener, "rules"),
+)
 
 
 def decode_config(value: bytes) -> SteeringConfig:
-    """Decode the operators' configuration; raise `DecodeError` if it is invalid."""
+    """Decode the operators' configuration; raise `DecodeError` if it is invalid.
+
+    Malformed values of optional fields are among its unknown values.
+    """
     try:
-        document = _CONFIG_DECODER.decode(value)
+        document, malformed = _convert_config(value)
         rules = [(entry.host, rule) for entry in document.listeners for rule in entry.rules]
         return SteeringConfig(
             version=_parse_version(document.version),
@@ -161,16 +196,36 @@
             organisations={
                 entry.name: _build_organisation_rule(entry) for entry in document.tenants or []
             },
-            unknown_values=tuple(
-                UnknownValue(f"rule {rule.name!r}: kind", rule.kind, _UNKNOWN_KIND.value)
-                for _, rule in rules
-                if rule.kind not in _KNOWN_KINDS
-            ),
+            unknown_values=(*malformed, *_list_unknown_values(rule for _, rule in rules)),
         )
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise DecodeError(str(error)) from None
 
 
+def _convert_config(value: bytes) -> tuple[_Config, list[UnknownValue]]:
+    try:
+        return _CONFIG_DECODER.decode(value), []
+    except msgspec.DecodeError:
+        converter = TolerantConverter(_STRICT_VALUES, _REQUIRED, (_SplitPart,), (".api_keys",))
+        document: _Config = converter.convert(json.loads(value), _Config)
+        return document, [
+            UnknownValue(fault.location, fault.value, fault.handling)
+            for fault in converter.malformed
+        ]
+
+
+def _list_unknown_values(rules: Iterable[_Rule]) -> Iterator[UnknownValue]:
+    for rule in rules:
+        if rule.kind not in _KNOWN_KINDS:
+            yield UnknownValue(f"rule {rule.name!r}: kind", rule.kind, _UNKNOWN_KIND.value)
+        if not _has_destination(rule.action):
+            yield UnknownValue(f"rule {rule.name!r}: action", "no service", "refused")
+
+
+def _has_destination(action: _Action) -> bool:
+    return bool(action.traffic_split or action.service)
+
+
 def parse_target_id(key: str) -> str | None:
     """Return the target id in a store key, or None if it is not a key of a target."""
     return _strip_prefix(key, TARGET_PREFIX)
@@ -215,6 +270,8 @@
             raise ValueError(f"status.state: unknown state {entry.status.state!r}")
         if entry.information.slots < 1 or not host:
             raise ValueError("information.slots must be at least 1 and address must be HOST:PORT")
+        if not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
+            raise ValueError(f"address: {port!r} is no port")
         return Target(
             id=target_id,
             service=entry.information.service,
@@ -228,7 +285,7 @@
             started_ms=entry.born,
             entry_number=entry.status.sequence,
         )
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise DecodeError(str(error)) from None
 
 
@@ -236,7 +293,7 @@
     """Decode an instance's registration; raise `DecodeError` if it is invalid."""
     try:
         return _MEMBER_DECODER.decode(value)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise DecodeError(str(error)) from None
 
 
@@ -249,7 +306,7 @@
     """Decode a quarantine; raise `DecodeError` if it is invalid."""
     try:
         return _QUARANTINE_DECODER.decode(value)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise DecodeError(str(error)) from None
 
 
@@ -279,14 +336,13 @@
 
 def _build_route_rule(host: str, rule: _Rule) -> RouteRule:
     action = rule.action
+    destinations: tuple[Destination, ...]
     if action.traffic_split:
         destinations = tuple(
             Destination(part.service, int(part.weight)) for part in action.traffic_split
         )
-    elif action.service:
-        destinations = (Destination(action.service, 1),)
     else:
-        raise ValueError(f"rule {rule.name!r}: action has neither service nor traffic_split")
+        destinations = (Destination(action.service or _NO_NAME, 1),)
     timeout_ms = int(action.timeout_ms or _DEFAULT_TIMEOUT_MS)
     return RouteRule(
         name=rule.name,
--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -5,12 +5,21 @@
 import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from waxwingshelf.platform.tolerant_decoding import (
+    FieldName,
+    MalformedValue,
+    TolerantConverter,
+)
+
 __all__ = ["Bounds", "Endpoint", "InstanceSettings", "InvalidSettingsError", "load_settings"]
 
+# Excludes what is not finite.
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+
 
 class InvalidSettingsError(Exception):
     """A settings file is unreadable or invalid; the message names the file and the error."""
@@ -54,7 +63,7 @@
 
     `seeds` are the `peer_state` endpoints of the peers to read from while no configuration is
     known, `peer_ports` the first and the last port for traffic between instances, and `regions` the
-    region of each failure domain.
+    region of each failure domain. `malformed` are the values for which stricter ones are used.
     """
 
     name: str
@@ -70,10 +79,11 @@
     regions: dict[str, str]
     bounds: Bounds = field(default_factory=Bounds)
     link_mbps: float = 0.0
+    malformed: tuple[MalformedValue, ...] = ()
 
 
 class _Limits(msgspec.Struct):
-    link_mbps: float = 0.0
+    link_mbps: _Amount = 0.0
 
 
 class _Self(msgspec.Struct):
@@ -107,13 +117,13 @@
 
 
 class _Bounds(msgspec.Struct):
-    grace_period_s: float = 6
-    ttl_max_s: float = 5
-    retry_budget_ratio: float = 0.2
-    retry_budget_slack: float = 56
-    cold_overage: float = 1.5
-    cold_slack: float = 5
-    quota_slack: float = 20
+    grace_period_s: _Amount = 6
+    ttl_max_s: _Amount = 5
+    retry_budget_ratio: _Amount = 0.2
+    retry_budget_slack: _Amount = 56
+    cold_overage: _Amount = 1.5
+    cold_slack: _Amount = 5
+    quota_slack: _Amount = 20
 
 
 class _Terms(msgspec.Struct):
@@ -127,17 +137,34 @@
     terms: _Terms = msgspec.field(default_factory=_Terms)
 
 
+# What a malformed bound allows at most; the defaults may allow more than the platform does.
+_STRICT_VALUES: dict[FieldName, Any] = {
+    (_Bounds, "grace_period_s"): 4.0,
+    (_Bounds, "ttl_max_s"): 1.0,
+    (_Bounds, "retry_budget_ratio"): 0.0,
+    (_Bounds, "retry_budget_slack"): 0.0,
+    (_Bounds, "cold_overage"): 1.0,
+    (_Bounds, "cold_slack"): 0.0,
+    (_Bounds, "quota_slack"): 0.0,
+    (_Terms, "bounds"): _Bounds(4.0, 1.0, 0.0, 0.0, 1.0, 0.0, 0.0),
+    (_File, "terms"): _Terms(_Bounds(4.0, 1.0, 0.0, 0.0, 1.0, 0.0, 0.0)),
+}
+
+
 def load_settings(path: Path) -> InstanceSettings:
     """Load a settings file; raise `InvalidSettingsError` with the location of the first error."""
     try:
         document: dict[str, Any] = tomllib.loads(path.read_text(encoding="utf-8"))
-        return _build_settings(msgspec.convert(document, _File))
+        converter = TolerantConverter(_STRICT_VALUES, (), ())
+        file: _File = converter.convert(document, _File)
+        return _build_settings(file, converter.malformed)
     except (OSError, ValueError) as error:
         # The errors of msgspec and tomllib are ValueErrors that name the field or the line.
         raise InvalidSettingsError(path, str(error)) from None
 
 
-def _build_settings(file: _File) -> InstanceSettings:
+def _build_settings(file: _File, malformed: list[MalformedValue]) -> InstanceSettings:
+    seeds = _parse_seeds(file.network.seed_nodes, malformed)
     bounds = file.terms.bounds
     listen = file.network.listen
     ports = file.network.internal_ports
@@ -152,7 +179,7 @@
         directory=_parse_endpoint(listen.directory),
         peer_state=_parse_endpoint(listen.control_plane),
         store=_parse_endpoint(file.platform.platform.address),
-        seeds=tuple(_parse_endpoint(seed) for seed in file.network.seed_nodes),
+        seeds=seeds,
         peer_ports=(ports[0], ports[1]),
         regions=dict(file.network.zones),
         bounds=Bounds(
@@ -165,9 +192,21 @@
             rate_slack=bounds.quota_slack,
         ),
         link_mbps=file.self.limits.link_mbps,
+        malformed=tuple(malformed),
     )
 
 
+def _parse_seeds(texts: list[str], malformed: list[MalformedValue]) -> tuple[Endpoint, ...]:
+    seeds = []
+    for number, text in enumerate(texts):
+        try:
+            seeds.append(_parse_endpoint(text))
+        except ValueError:
+            location = f"$.network.seed_nodes[{number}]"
+            malformed.append(MalformedValue(location, repr(text), "dropped"))
+    return tuple(seeds)
+
+
 def _parse_endpoint(text: str) -> Endpoint:
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit():
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from pathlib import Path
 
 import aiohttp
@@ -210,6 +211,7 @@
         self._settings = settings
         self._dispatch_state.apply_settings(_build_locality(settings), settings.bounds)
         self._request_handler.regions = frozenset(settings.regions.values())
+        _log_malformed(settings)
         _log.info("settings_reloaded", regions=sorted(set(settings.regions.values())))
 
     async def run(self) -> None:
@@ -228,6 +230,7 @@
         store_watcher.read_from_peers = self._peer_network.read_from_seeds
         self._peer_network.is_watching = lambda: store_watcher.watching
         await self._open()
+        _log_malformed(self._settings)
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
         tasks = [
             asyncio.create_task(store_watcher.run_watch()),
@@ -353,6 +356,11 @@
         await session.close()
 
 
+def _log_malformed(settings: InstanceSettings) -> None:
+    for fault in settings.malformed:
+        _log.warning("settings_value_unknown", **asdict(fault))
+
+
 def _build_locality(settings: InstanceSettings) -> Locality:
     return Locality(settings.region, settings.failure_domain, settings.regions)
 
--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from waxwingshelf.core.hashing import hash_to_uint32
+from waxwingshelf.serving.tolerant_messages import TolerantDecoder
 from waxwingshelf.steering.fleet import Heartbeat, LoadReport, PeerAddress
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
 from waxwingshelf.steering.sent_demand import DemandAck
@@ -184,9 +185,12 @@
     )
 
 
-# Each function decodes a datagram without its type byte, and raises `msgspec.DecodeError`.
-decode_heartbeat = msgspec.msgpack.Decoder(Heartbeat).decode
-decode_brief_heartbeat = msgspec.msgpack.Decoder(BriefHeartbeat).decode
-decode_load_report = msgspec.msgpack.Decoder(LoadReport).decode
-decode_brief_load_report = msgspec.msgpack.Decoder(BriefLoadReport).decode
+# Each function decodes a datagram without its type byte, and raises `msgspec.DecodeError`. A
+# malformed ack acknowledges nothing, and a malformed reach counts as lost links.
+decode_heartbeat = TolerantDecoder(Heartbeat, {"ack": DemandAck(), "reaches_targets": False}).decode
+decode_brief_heartbeat = TolerantDecoder(
+    BriefHeartbeat, {"acked_boot": 0, "acked_number": 0, "reaches_targets": False}
+).decode
+decode_load_report = TolerantDecoder(LoadReport).decode
+decode_brief_load_report = TolerantDecoder(BriefLoadReport).decode
 decode_changes = msgspec.msgpack.Decoder(ChangesMessage).decode
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -294,7 +294,7 @@
                 self._handle_brief_heartbeat(body, sender)
             elif message_type == INTRODUCTION_TYPE and self._transport is not None:
                 self._transport.sendto(encode_heartbeat(self._make_heartbeat()), sender)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             _log.warning("beat_rejected", detail=str(error))
 
     def send_to(self, address: PeerAddress, data: bytes) -> None:
