--- a/src/waxwingshelf/steering/attempts.py
+++ b/src/waxwingshelf/steering/attempts.py
@@ -69,6 +69,13 @@
         """Count the start of an attempt."""
         self.sends += 1
 
+    def record_failure(self, outcome: AttemptOutcome) -> None:
+        """Take note of an attempt that another one ran beside, so that it decides nothing."""
+        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.UNREACHABLE):
+            self.sends -= 1
+        elif outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.ANSWERED):
+            self.maybe_run = True
+
     def decide(self, outcome: AttemptOutcome, take_retry: Callable[[], bool]) -> RetryDecision:
         """Return what to do after an attempt that ended with `outcome`.
 
@@ -77,10 +84,7 @@
         """
         if outcome is AttemptOutcome.ANSWERED:
             return _DELIVER
-        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.UNREACHABLE):
-            self.sends -= 1
-        elif outcome is not AttemptOutcome.NOT_RUN:
-            self.maybe_run = True
+        self.record_failure(outcome)
         if outcome is AttemptOutcome.TIMED_OUT:
             return RetryDecision(NextStep.REFUSE, RefusalReason.TIMEOUT_AFTER_SEND)
         if outcome is AttemptOutcome.UNREACHABLE:
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -151,6 +151,10 @@
         self._tokens -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Put back the token of an attempt that was not made."""
+        self._tokens = min(self._limit, self._tokens + 1.0)
+
 
 class ColdTargetLimiter:
     """Limit the requests per second that all instances together send to a cold target.
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -302,6 +302,10 @@
             if not state.refuses_requests(now_ms)
         ]
 
+    def has(self, state: TargetState) -> bool:
+        """Return whether the target has an entry now, and this is its state."""
+        return self._states.get(state.target.id) is state
+
     def find_usable(self, target_id: str) -> TargetState | None:
         """Return a target if it is in use: neither draining nor leaving nor evacuated."""
         state = self._states.get(target_id)
--- a/tests/steering/test_attempts.py
+++ b/tests/steering/test_attempts.py
@@ -57,3 +57,24 @@
 def test_status_implies_not_run_only_if_certain(reason) -> None:
     refusal = Refusal(reason, Step.SEND, maybe_run=True)
     assert refusal.status not in (408, 421, 429, 503)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "sends", "maybe_run"),
+    [
+        (AttemptOutcome.NOT_CONNECTED, 1, False),
+        (AttemptOutcome.UNREACHABLE, 1, False),
+        (AttemptOutcome.NOT_RUN, 2, False),
+        (AttemptOutcome.ANSWERED, 2, False),
+        (AttemptOutcome.ANSWERED_FAILURE, 2, True),
+        (AttemptOutcome.UNCERTAIN, 2, True),
+        (AttemptOutcome.TIMED_OUT, 2, True),
+    ],
+)
+def test_failed_copy_is_counted_but_decides_nothing(outcome, sends, maybe_run) -> None:
+    """Fails if a copy that was not sent uses up an attempt, or one that may have run is lost."""
+    attempts = Attempts(idempotent=True, max_attempts=3)
+    attempts.record_attempt()
+    attempts.record_attempt()
+    attempts.record_failure(outcome)
+    assert (attempts.sends, attempts.maybe_run) == (sends, maybe_run)
