Send copies of slow requests to a second target

Change: `serving.hedged_sender` sends the copy beside the first request, returns the first response that counts and cancels the other send, which resets its connection. Copies take a token of the ratio, of the retry budget and of the organisation's rate, and stop while requests wait, links are lost, a crash is suspected or the instance stops.

Shown by: tests/steering, tests/platform, test_hedged_sender, test_own_settings, test_path, test_quarantine passed.

--- a/src/waxwingshelf/serving/crash_detector.py
+++ b/src/waxwingshelf/serving/crash_detector.py
@@ -66,6 +66,10 @@
         self._probes.add(probe)
         probe.add_done_callback(self._probes.discard)
 
+    def is_probing(self, target: Target) -> bool:
+        """Return whether a connection to the target broke, and it is not known why."""
+        return target.run in self._lost
+
     def close(self) -> None:
         """Cancel the probes in progress."""
         for probe in self._probes:
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -25,6 +25,8 @@
 
 __all__ = ["Attempt", "DispatchState"]
 
+# One failure raises the rate to 0.25; it falls below this within a second.
+_RECENT_FAILURE_RATE = 0.2
 _log = structlog.get_logger("dispatch_state")
 
 
@@ -83,6 +85,10 @@
         """Take one retry from the service's budget; return whether one was available."""
         return self._get_retry_budget(service).try_acquire()
 
+    def return_retry(self, service: str) -> None:
+        """Put back a token of the retry budget that was not used."""
+        self._get_retry_budget(service).refund()
+
     def get_durations(self, route: RouteRule) -> RouteDurations:
         """Return the moving averages of a route's request durations.
 
@@ -181,6 +187,25 @@
             return
         state.record_outcome(True, now_ms)
 
+    def record_unfinished(self, attempt: Attempt) -> None:
+        """Record the slowness that an attempt shows that was ended before its response.
+
+        It would have taken at least as long. Otherwise, a slow target would look usual, as another
+        target answers its requests.
+        """
+        now_ms = self._clock.now_ms()
+        state, typical_ms = attempt.state, attempt.placement.typical_ms
+        ratio = (now_ms - attempt.sent_ms) / typical_ms
+        if ratio > state.compute_slowness(now_ms, typical_ms):
+            state.record_duration(ratio, now_ms)
+
+    def looks_crashed(self, state: TargetState) -> bool:
+        """Return whether a target has failed lately, or its entry is gone."""
+        now_ms = self._clock.now_ms()
+        if state.is_suspended(now_ms) or not self._routing_state.targets.has(state):
+            return True
+        return state.compute_failure_rate(now_ms) >= _RECENT_FAILURE_RATE
+
     def _record_leaving(self, state: TargetState) -> None:
         if self._routing_state.targets.record_leaving(state):
             _log.info(
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,17 +12,20 @@
 
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.platform.names import EXPECTED_TARGET_HEADER
+from waxwingshelf.serving.attempt_outcomes import classify_outcome
 from waxwingshelf.serving.dispatch_state import Attempt, DispatchState
 from waxwingshelf.serving.exchange import (
     Exchange,
     choose_retry_after_ms,
+    exclude_target,
     prefer_failed_response,
     refuse,
     refuse_expired,
 )
+from waxwingshelf.serving.hedged_sender import HedgedSender
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
-from waxwingshelf.serving.send_results import FailureKind, SendFailure, UpstreamResponse
+from waxwingshelf.serving.send_results import OutgoingRequest, SendFailure, UpstreamResponse
 from waxwingshelf.serving.target_sender import TargetSender
 from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
 from waxwingshelf.steering.placement import PlacementRequest
@@ -29,16 +34,7 @@
 
 __all__ = ["Dispatcher", "Trials"]
 
-_MIN_FAILURE_STATUS = 500
 _QUEUE_POLL_INTERVAL_S = 0.02
-_OUTCOMES = {
-    FailureKind.NOT_CONNECTED: AttemptOutcome.NOT_CONNECTED,
-    FailureKind.UNREACHABLE: AttemptOutcome.UNREACHABLE,
-    FailureKind.WITHDRAWN: AttemptOutcome.NOT_CONNECTED,
-    FailureKind.SHED: AttemptOutcome.NOT_RUN,
-    FailureKind.WRONG_TARGET: AttemptOutcome.NOT_RUN,
-    FailureKind.TIMEOUT: AttemptOutcome.TIMED_OUT,
-}
 _log = structlog.get_logger("dispatcher")
 
 
@@ -64,6 +60,11 @@
 _QueuedRequest = tuple[Exchange, "asyncio.Future[Attempt | _NoPlacement]"]
 
 
+def _allow() -> bool:
+    """Allow the send; the default permission."""
+    return True
+
+
 class Dispatcher:
     """Dispatch requests to targets and queue those that no target has capacity for."""
 
@@ -75,7 +76,9 @@
         trials: Trials,
         clock: Clock,
         metrics: Metrics,
+        hedged_sender: HedgedSender | None = None,
     ) -> None:
+        self._hedged_sender = hedged_sender
         self._routing_state = routing_state
         self._dispatch_state = dispatch_state
         self._sender = sender
@@ -269,8 +272,25 @@
         return None
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
+        hedged_sender = self._hedged_sender
+        if hedged_sender is None or not hedged_sender.may_hedge(exchange):
+            return await self._send_attempt(exchange, attempt, exchange.outgoing)
+        return await hedged_sender.send(
+            exchange,
+            attempt,
+            functools.partial(self._send_attempt, exchange),
+            lambda: bool(self._queues.get(exchange.service)),
+        )
+
+    async def _send_attempt(
+        self,
+        exchange: Exchange,
+        attempt: Attempt,
+        outgoing: OutgoingRequest,
+        may_send: Callable[[], bool] = _allow,
+    ) -> UpstreamResponse | SendFailure:
+        """Send one attempt, if `may_send` allows it once there is a connection."""
         target = attempt.state.target
-        outgoing = exchange.outgoing
         outgoing.headers[EXPECTED_TARGET_HEADER] = target.id
         outgoing.deadline_ms = exchange.deadline_ms
         exchange.attempts.record_attempt()
@@ -283,7 +303,7 @@
                 response_timeout_ms,
                 exchange.allowed_regions,
                 handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
-                may_still_send=lambda: self._may_still_send(exchange, attempt),
+                may_still_send=lambda: may_send() and self._may_still_send(exchange, attempt),
             )
         except BaseException:
             # The request may have been sent when its caller left.
@@ -302,13 +322,12 @@
     ) -> UpstreamResponse | Refusal | None:
         """Return the final response or refusal, or None when the request must be sent again."""
         decision = exchange.attempts.decide(
-            _classify(result), lambda: self._dispatch_state.try_acquire_retry(exchange.service)
+            classify_outcome(result),
+            lambda: self._dispatch_state.try_acquire_retry(exchange.service),
         )
         if decision.step is NextStep.DELIVER and isinstance(result, UpstreamResponse):
             return result
-        exchange.last_failed_target_id = result.target_id
-        if not (isinstance(result, SendFailure) and result.links_lost):
-            exchange.excluded_targets.add(result.target_id)
+        exclude_target(exchange, result)
         if isinstance(result, UpstreamResponse):
             kind, detail = AttemptOutcome.ANSWERED_FAILURE.value, f"status {result.status}"
             exchange.failed_response = result
@@ -340,10 +359,3 @@
 
 def _refuse_placement(exchange: Exchange, result: _NoPlacement) -> Refusal:
     return refuse(exchange, result.reason, Step.PLACE, result.detail, result.retry_after_ms)
-
-
-def _classify(result: UpstreamResponse | SendFailure) -> AttemptOutcome:
-    if isinstance(result, UpstreamResponse):
-        failed = result.status >= _MIN_FAILURE_STATUS
-        return AttemptOutcome.ANSWERED_FAILURE if failed else AttemptOutcome.ANSWERED
-    return _OUTCOMES.get(result.kind, AttemptOutcome.UNCERTAIN)
--- a/src/waxwingshelf/serving/exchange.py
+++ b/src/waxwingshelf/serving/exchange.py
@@ -4,17 +4,20 @@
 
 import random
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from waxwingshelf.platform.names import ORGANISATION_HEADER
 from waxwingshelf.serving.dispatch_state import Attempt
-from waxwingshelf.serving.send_results import OutgoingRequest, UpstreamResponse
+from waxwingshelf.serving.send_results import OutgoingRequest, SendFailure, UpstreamResponse
 from waxwingshelf.steering.attempts import Attempts
 from waxwingshelf.steering.config import RouteRule
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, RefusedRequest, Step
 
 __all__ = [
     "Exchange",
+    "Hedging",
     "choose_retry_after_ms",
+    "exclude_target",
     "prefer_failed_response",
     "refuse",
     "refuse_expired",
@@ -25,6 +28,15 @@
 _rng = random.Random()
 
 
+class Hedging(StrEnum):
+    """Whether a copy of the request was sent, and whose response counted."""
+
+    NO = "no"
+    FIRST = "first"
+    COPY = "copy"
+    NEITHER = "neither"
+
+
 @dataclass(slots=True)
 class Exchange:
     """The state of one request while it is dispatched; times are clock readings in milliseconds.
@@ -53,6 +65,7 @@
     last_failed_target_id: str = ""
     last_attempt: Attempt | None = None
     is_trial: bool = False
+    hedging: Hedging = Hedging.NO
 
 
 def choose_retry_after_ms(expected_wait_ms: int = 0) -> int:
@@ -68,6 +81,13 @@
     return _rng.randint(max(min_ms, max_ms // 3), max_ms)
 
 
+def exclude_target(exchange: Exchange, result: UpstreamResponse | SendFailure) -> None:
+    """Exclude the target of a failed attempt from the next ones, unless the links are to blame."""
+    exchange.last_failed_target_id = result.target_id
+    if not (isinstance(result, SendFailure) and result.links_lost):
+        exchange.excluded_targets.add(result.target_id)
+
+
 def prefer_failed_response(exchange: Exchange, refusal: Refusal) -> UpstreamResponse | Refusal:
     """Return the last failure response of a target if there is one, else the refusal."""
     return exchange.failed_response or refusal
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -28,9 +28,11 @@
 from waxwingshelf.serving.demand_tracker import DemandTracker
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher
+from waxwingshelf.serving.hedged_sender import CopyConditions, HedgedSender
 from waxwingshelf.serving.internal_endpoints import InternalEndpoints
 from waxwingshelf.serving.logs import LogBuffer
 from waxwingshelf.serving.metrics import Metrics
+from waxwingshelf.serving.own_settings import OwnSettings
 from waxwingshelf.serving.peers import PeerNetwork
 from waxwingshelf.serving.quarantine_keeper import QuarantineKeeper
 from waxwingshelf.serving.quarantine_store import QuarantineStore
@@ -47,6 +49,7 @@
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.owners import OwnerReports
 from waxwingshelf.steering.placement import Locality
+from waxwingshelf.steering.targets import Target
 
 __all__ = ["Instance", "run_instance"]
 
@@ -71,9 +74,11 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-async def run_instance(path: Path, settings: InstanceSettings, logs: LogBuffer) -> None:
+async def run_instance(
+    path: Path, settings: InstanceSettings, logs: LogBuffer, own_settings: OwnSettings
+) -> None:
     """Serve until SIGTERM or SIGINT, and reload the settings file at `path` when it changes."""
-    instance = Instance(settings, logs, path)
+    instance = Instance(settings, logs, path, own_settings=own_settings)
     loop = asyncio.get_running_loop()
     logs.attach(loop)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -91,6 +96,7 @@
         logs: LogBuffer,
         path: Path | None = None,
         open_target_socket: SocketFactory = open_client_socket,
+        own_settings: OwnSettings | None = None,
     ) -> None:
         self._settings = settings
         self._path = path
@@ -153,9 +159,6 @@
         durations = dispatch_state.duration_average
         self._peer_network.get_mean_duration_ms = lambda: durations.mean_ms
         regions = frozenset(settings.regions.values())
-        self._dispatcher = Dispatcher(
-            self._routing_state, dispatch_state, sender, self._quarantine_keeper, clock, metrics
-        )
         self._rate_limiter = rate_limiter = RateLimiter(
             self._demand_tracker,
             self._fleet,
@@ -164,6 +167,16 @@
             self._peer_network,
             clock,
         )
+        self._hedged_sender = self._build_hedged_sender(own_settings or OwnSettings(), sender)
+        self._dispatcher = Dispatcher(
+            self._routing_state,
+            dispatch_state,
+            sender,
+            self._quarantine_keeper,
+            clock,
+            metrics,
+            self._hedged_sender,
+        )
         self._request_handler = RequestHandler(
             self._routing_state,
             dispatch_state,
@@ -186,6 +199,27 @@
         self._idle_timeout_s = _DEFAULT_KEEPALIVE_S
         self._caller_server = _build_server(self._request_handler.handle, self._idle_timeout_s)
 
+    def _build_hedged_sender(
+        self, own_settings: OwnSettings, sender: TargetSender
+    ) -> HedgedSender | None:
+        """Return the sender of copies, or None if copies are off."""
+        max_extra_ratio = own_settings.hedging.max_extra_ratio
+        if max_extra_ratio <= 0:
+            return None
+        conditions = CopyConditions(
+            sender.reaches_directly,
+            self._is_crash_suspected,
+            self._rate_limiter.acquire_for,
+        )
+        return HedgedSender(
+            max_extra_ratio, self._dispatch_state, conditions, self._clock, self._metrics
+        )
+
+    def _is_crash_suspected(self, target: Target, fingerprint: str) -> bool:
+        if self._crash_detector.is_probing(target):
+            return True
+        return self._quarantine_keeper.is_suspect(fingerprint)
+
     def stop(self) -> None:
         """Begin the graceful shutdown."""
         self._stop_requested.set()
@@ -320,6 +354,8 @@
         started_ms = self._clock.now_ms()
         _log.info("stopping", in_flight=self._request_handler.in_flight)
         self._peer_network.ready = False
+        if self._hedged_sender is not None:
+            self._hedged_sender.stopping = True
         self._request_handler.closing_connections = True
         self._peer_network.send_heartbeats()
         deregistration = asyncio.create_task(store_watcher.deregister())
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -33,6 +33,12 @@
             ["reason"],
             registry=registry,
         )
+        self.hedges = Counter(
+            "waxwingshelf_hedges",
+            "Copies of slow requests: sent, won, lost, failed, or refused by a limit (`limited`).",
+            ["result"],
+            registry=registry,
+        )
         self.rate_tokens = Counter(
             "waxwingshelf_rate_tokens",
             "Tokens of organisations' rates: granted, refused, or returned by requests not run.",
--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -123,6 +123,10 @@
         if self._quarantines.get_remaining_ms(fingerprint, now_ms) > 0:
             self._has_work.set()
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request was lost in a crash that this instance saw, and not answered."""
+        return fingerprint in self._reported
+
     def report_crash(self, crash: TargetCrash) -> None:
         """Report a crash that this instance has seen to the collectors."""
         collectors = self._list_collectors()
--- a/src/waxwingshelf/serving/rate_limiter.py
+++ b/src/waxwingshelf/serving/rate_limiter.py
@@ -112,6 +112,14 @@
             _log.info("rate_owner_silent", organisation=rule.name, peer=owner.name)
         return Admission(self._demand_tracker.try_acquire_fallback(rule), _RETRY_AFTER_MS)
 
+    async def acquire_for(self, organisation: str) -> Admission:
+        """Acquire a token of the rate of the organisation with this name, if it has one."""
+        config = self._routing_state.config
+        rule = config.organisations.get(organisation) if config is not None else None
+        if rule is None or rule.rate_per_s <= 0:
+            return Admission(True)
+        return await self.acquire(rule)
+
     def _acquire_locally(self, rule: OrganisationRule) -> Admission:
         bucket = self._demand_tracker.try_acquire(rule)
         if bucket is not None:
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -267,6 +267,7 @@
         target=upstream_response.target_id,
         status=upstream_response.status,
         sends=exchange.attempts.sends,
+        hedged=exchange.hedging.value,
         waited_ms=attempt.sent_ms - started_ms,
         rank=attempt.placement.rank,
         load=attempt.placement.load,
