Expect longer waits the more a request exceeds the usual time

Cause: in a trial on loopback sockets a target hung, the quantile was 66 ms and a cold run elsewhere was expected to take 581 ms.

Change: a request older than the quantile and the expected time is expected to take as long again, times its age over the greater of both; one younger than that, what is left of the expected time. Tests of tokens of the rate and of a second target that never answers.

--- /dev/null
+++ b/src/waxwingshelf/serving/hedge_results.py
@@ -0,0 +1,64 @@
+"""Judge the results of the two sends of a hedged request."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from waxwingshelf.serving.attempt_outcomes import classify_outcome
+from waxwingshelf.serving.exchange import Exchange, exclude_target
+from waxwingshelf.serving.send_results import (
+    FailureKind,
+    SendFailure,
+    SendResult,
+    UpstreamResponse,
+)
+
+__all__ = ["choose_failure", "counts_as_answer"]
+
+_MIN_FAILURE_STATUS = 500
+# Responses that tell the caller that the request did not run; the other send may have run it.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class _Weight(IntEnum):
+    """How much a failure decides about the next step."""
+
+    NOT_SENT = 0
+    NOT_RUN = 1
+    ANSWERED_NOT_RUN = 2
+    ANSWERED_FAILURE = 3
+    MAYBE_RUN = 4
+
+
+def counts_as_answer(result: SendResult | None) -> bool:
+    """Return whether a response is final while the other send may still bring another one."""
+    if not isinstance(result, UpstreamResponse):
+        return False
+    return result.status < _MIN_FAILURE_STATUS and result.status not in _NOT_RUN_STATUSES
+
+
+def choose_failure(exchange: Exchange, first: SendResult, copy: SendResult) -> SendResult:
+    """Return the failure that decides about the next step, and take note of the other one.
+
+    A request that may have run decides. One that certainly did not would be sent again without a
+    retry token, or let the caller be told that nothing ran.
+    """
+    chosen, other = first, copy
+    if _weigh(copy) > _weigh(first):
+        chosen, other = copy, first
+    exchange.attempts.record_failure(classify_outcome(other))
+    # A withdrawn copy may have been withdrawn for other reasons than its target.
+    if not (isinstance(other, SendFailure) and other.kind is FailureKind.WITHDRAWN):
+        exclude_target(exchange, other)
+    if isinstance(other, UpstreamResponse) and _weigh(other) is _Weight.ANSWERED_FAILURE:
+        exchange.failed_response = other
+    return chosen
+
+
+def _weigh(result: SendResult) -> _Weight:
+    if isinstance(result, UpstreamResponse):
+        is_not_run = result.status in _NOT_RUN_STATUSES
+        return _Weight.ANSWERED_NOT_RUN if is_not_run else _Weight.ANSWERED_FAILURE
+    if result.kind.certainly_not_sent:
+        return _Weight.NOT_SENT
+    return _Weight.NOT_RUN if result.kind.certainly_not_run else _Weight.MAYBE_RUN
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -9,7 +9,7 @@
 
 from waxwingshelf.serving.bodies import StreamedBody
 
-__all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "UpstreamResponse"]
+__all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "SendResult", "UpstreamResponse"]
 
 
 class FailureKind(StrEnum):
@@ -67,6 +67,9 @@
     body: bytes
 
 
+SendResult = UpstreamResponse | SendFailure
+
+
 @dataclass(slots=True)
 class OutgoingRequest:
     """A request to send to a target; a streamed body can be sent only once.
--- a/src/waxwingshelf/steering/attempts.py
+++ b/src/waxwingshelf/steering/attempts.py
@@ -70,7 +70,7 @@
         self.sends += 1
 
     def record_failure(self, outcome: AttemptOutcome) -> None:
-        """Take note of an attempt that another one ran beside, so that it decides nothing."""
+        """Take note of a failed attempt without deciding about the next step."""
         if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.UNREACHABLE):
             self.sends -= 1
         elif outcome not in (AttemptOutcome.NOT_RUN, AttemptOutcome.ANSWERED):
--- a/src/waxwingshelf/steering/hedging.py
+++ b/src/waxwingshelf/steering/hedging.py
@@ -142,13 +142,13 @@
     """Return the time that the first target is expected to need still.
 
     `expected_ms` is the whole time expected there at its present speed. A request that has taken
-    longer than most is expected to take as long again, as if its duration had a heavy tail: the
-    cause is not known.
+    longer than that and than most requests is expected to take as long again, as if its duration
+    had a heavy tail, and longer still the more it exceeds them: it may never be answered.
     """
-    remaining_ms = expected_ms - elapsed_ms
-    if elapsed_ms < quantile_ms:
-        return remaining_ms
-    return max(remaining_ms, float(elapsed_ms))
+    usual_ms = max(expected_ms, float(quantile_ms))
+    if elapsed_ms < usual_ms:
+        return expected_ms - elapsed_ms
+    return elapsed_ms * (elapsed_ms / usual_ms)
 
 
 def list_copy_placements(
--- a/tests/serving/hedging_fakes.py
+++ b/tests/serving/hedging_fakes.py
@@ -27,6 +27,7 @@
 from waxwingshelf.steering.attempts import Attempts
 from waxwingshelf.steering.config import RouteKind, RouteRule
 from waxwingshelf.steering.fleet import Fleet
+from waxwingshelf.steering.limits import RateBucket
 from waxwingshelf.steering.placement import Locality
 from waxwingshelf.steering.refusals import Refusal
 from waxwingshelf.steering.targets import Target
@@ -131,6 +132,7 @@
         self.suspected: set[str] = set()
         self.rate_tokens: list[str] = []
         self.rate_is_used_up = False
+        self.rate_bucket: RateBucket | None = None
         self.hedged_sender = HedgedSender(
             ratio,
             self.dispatch_state,
@@ -156,6 +158,8 @@
 
     async def _acquire_rate(self, organisation: str) -> Admission:
         self.rate_tokens.append(organisation)
+        if self.rate_bucket is not None:
+            return Admission(self.rate_bucket.try_acquire(self.loop.now_ms()), 0, self.rate_bucket)
         return Admission(not self.rate_is_used_up)
 
     def make_exchange(
--- a/tests/serving/test_hedged_sender.py
+++ b/tests/serving/test_hedged_sender.py
@@ -16,6 +16,7 @@
 from waxwingshelf.serving.exchange import Exchange, Hedging
 from waxwingshelf.serving.send_results import FailureKind, UpstreamResponse
 from waxwingshelf.steering.config import RouteKind
+from waxwingshelf.steering.limits import RateBucket
 from waxwingshelf.steering.refusals import Refusal
 
 SLOW_MS = 10 * WORK_MS
@@ -329,6 +330,21 @@
     assert (world.count("sent"), world.count("lost")) == (1, 1)
 
 
+def test_first_send_counts_if_the_second_target_is_cut_off() -> None:
+    """Fails if a copy that nobody answers is waited for, or stays in flight."""
+
+    async def play(world: HedgingWorld) -> None:
+        exchange = await prepare_failure(world, 200, 200)
+        for name, target in world.targets.items():
+            target.work_ms = 4 * WORK_MS if name == world.find_first(exchange) else 100_000
+        result = await world.dispatch(exchange)
+        assert (result.status, world.elapsed_ms[exchange.id]) == (200, 4 * WORK_MS)
+        assert exchange.hedging is Hedging.FIRST
+        assert all(target.running == 0 for target in world.targets.values())
+
+    run(play)
+
+
 @pytest.mark.parametrize("copy_result", FAILED_COPIES)
 @pytest.mark.parametrize("first_result", [FailureKind.BROKEN, FailureKind.SHED, 500])
 def test_request_is_retried_elsewhere_after_both_fail(
@@ -403,6 +419,22 @@
     run(play)
 
 
+@pytest.mark.parametrize("copy_result", [FailureKind.NOT_CONNECTED, FailureKind.SHED, 200])
+def test_token_of_the_rate_is_returned_unless_the_copy_ran(
+    copy_result: int | FailureKind,
+) -> None:
+    """Fails if an organisation pays for copies that no target ran, or not for those that ran."""
+
+    async def play(world: HedgingWorld) -> None:
+        exchange = await prepare_failure(world, 200, copy_result)
+        bucket = world.rate_bucket = RateBucket(0.0, 5.0, 1.0, world.loop.now_ms())
+        await world.dispatch(exchange)
+        assert world.count("sent") == 1
+        assert bucket._tokens == (4.0 if copy_result == 200 else 5.0)
+
+    run(play)
+
+
 @pytest.mark.parametrize("after_ms", [0, 1, 20, 130, 160])
 def test_caller_that_leaves_ends_both_sends(after_ms: int) -> None:
     """Fails if a send goes on, or counts as in flight, after the caller has gone."""
