Test what copies leave behind: waiting requests, slowness, retries

Cause: with one of four conditions taken out of the code on a trial (waiting requests, the slowness of a send that was ended, the exclusion after a withdrawn copy, the duration of a send that was ended), no test failed.

Change: a test for each.

--- a/tests/serving/test_hedged_sender.py
+++ b/tests/serving/test_hedged_sender.py
@@ -476,6 +476,61 @@
     run(play, count=2, slots=4)
 
 
+def test_request_that_waits_for_other_targets_keeps_copies_away() -> None:
+    """Fails if only the free slots, not the waiting requests of the service, stop copies."""
+
+    async def play(world: HedgingWorld) -> None:
+        exchange, _ = await prepare_slow(world)
+        waiting = world.make_exchange()
+        waiting.excluded_targets.update(world.targets)
+        task = asyncio.create_task(world.dispatch(waiting))
+        await asyncio.sleep(0.01)
+        await world.dispatch(exchange)
+        assert world.list_sent(exchange) == [world.find_first(exchange)]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run(play)
+
+
+def test_ended_send_counts_for_its_target_and_the_quantile() -> None:
+    """Fails if a target looks usual, or the quantile falls, since copies answer for it."""
+
+    async def play(world: HedgingWorld) -> None:
+        exchange, _ = await prepare_slow(world)
+        quantile = world.hedged_sender._quantiles.get("r")
+        known = quantile._total
+        state = world.routing_state.targets.find(world.find_first(exchange))
+        assert state is not None
+        assert state.slowness == pytest.approx(1.0, abs=0.1)
+        await world.dispatch(exchange)
+        assert exchange.hedging is Hedging.COPY
+        assert state.slowness > 1.2
+        assert quantile._total == known + 1
+        # The send that was ended took twice as long as all others until then.
+        assert max(index for index, count in enumerate(quantile._counts) if count) > 50
+
+    run(play)
+
+
+def test_retry_may_go_where_a_copy_was_withdrawn() -> None:
+    """Fails if a copy that this instance itself withdrew takes the last target from the retry."""
+
+    async def play(world: HedgingWorld) -> None:
+        exchange, first = await prepare_slow(world)
+        first.work_ms, first.result = 1.2 * WORK_MS, FailureKind.BROKEN
+        (other,) = (target for target in world.targets.values() if target is not first)
+        other.connect_ms = 100
+        result = await world.dispatch(exchange)
+        assert isinstance(result, UpstreamResponse)
+        assert world.count("failed") == 1
+        assert (result.status, world.targets[result.target_id]) == (200, other)
+        assert other.sent == [exchange.id]
+        assert exchange.attempts.sends == 2
+
+    run(play, count=2)
+
+
 def test_all_targets_slow_at_once_get_no_copies() -> None:
     """Fails if slowness that no target escapes doubles the load."""
 
