--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -10,7 +10,7 @@
 from waxwingshelf.serving.bodies import StreamedBody
 from waxwingshelf.serving.response_buffer import ResponseHold
 
-__all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "UpstreamResponse"]
+__all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "SendResult", "UpstreamResponse"]
 
 
 class FailureKind(StrEnum):
@@ -68,6 +68,9 @@
     body: bytes
 
 
+SendResult = UpstreamResponse | SendFailure
+
+
 @dataclass(slots=True)
 class OutgoingRequest:
     """A request to send to a target; a streamed body can be sent only once.
