Let the weights of regions follow their demand

Cause: the weight of local targets assumes the same demand in all regions, so that a region with more callers than its targets can serve overloads these while others have free slots.

Change: each instance measures the slots that its callers' requests need, by service. Even demand leaves the weights as they were. Metric waxwingshelf_region_weight, event region_weights. tests of brief heartbeats of earlier builds cut two more fields, as two were appended.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -18,6 +18,8 @@
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.load_reports import DurationAverage
 from waxwingshelf.steering.placement import Locality, Placement, Placer
+from waxwingshelf.steering.region_weights import RegionWeights
+from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.target_limits import TargetRateShare
 from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import NamedLimit, TargetReport
@@ -56,6 +58,7 @@
         routing_state: RoutingState,
         fleet: Fleet,
         clock: Clock,
+        regional_demand: RegionalDemand,
     ) -> None:
         self._instance_name = instance_name
         self._bounds = bounds
@@ -67,13 +70,14 @@
         self._durations: dict[str, RouteDurations] = {}
         self._attempt_numbers = itertools.count()
         self.duration_average = DurationAverage()
-        self.placer = Placer(locality, routing_state.targets)
+        self.region_weights = RegionWeights(regional_demand)
+        self.placer = Placer(locality, routing_state.targets, self.region_weights)
 
     def apply_settings(self, locality: Locality, bounds: Bounds) -> None:
         """Apply changed settings; retry budgets restart with the changed bounds."""
         self._bounds = bounds
         self._retry_budgets.clear()
-        self.placer = Placer(locality, self._routing_state.targets)
+        self.placer = Placer(locality, self._routing_state.targets, self.region_weights)
 
     def record_request(self, service: str) -> None:
         """Count a new request towards the retry budget of its service."""
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -104,8 +104,9 @@
 
     async def dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         """Send a request until it is answered, cannot be retried or reaches its deadline."""
+        warm_ms = self._dispatch_state.get_durations(exchange.route).warm_ms
         self._dispatch_state.placer.record_request(
-            exchange.service, exchange.allowed_regions, self._clock.now_ms()
+            exchange.service, exchange.allowed_regions, self._clock.now_ms(), warm_ms
         )
         fingerprint = exchange.outgoing.fingerprint
         if self._get_quarantine_ms(exchange) > 0:
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -36,6 +36,7 @@
 from waxwingshelf.serving.quarantine_store import QuarantineStore
 from waxwingshelf.serving.rate_limiter import RateLimiter
 from waxwingshelf.serving.reachability_prober import ReachabilityProber
+from waxwingshelf.serving.region_balancer import RegionBalancer
 from waxwingshelf.serving.relay import RelayEndpoint
 from waxwingshelf.serving.requests import RequestHandler
 from waxwingshelf.serving.routing_state import RoutingState
@@ -111,7 +112,16 @@
         )
         locality = _build_locality(settings)
         self._dispatch_state = dispatch_state = DispatchState(
-            settings.name, locality, settings.bounds, self._routing_state, self._fleet, clock
+            settings.name,
+            locality,
+            settings.bounds,
+            self._routing_state,
+            self._fleet,
+            clock,
+            self._peer_network.regional_demand,
+        )
+        self._region_balancer = RegionBalancer(
+            dispatch_state, self._routing_state, self._fleet, clock, metrics
         )
         self._prober = ReachabilityProber(
             self._target_contact,
@@ -295,6 +305,7 @@
                 self._metrics.unknown_config_values.set(len(config.unknown_values))
                 self._apply_caller_limits(config.limits)
             self._metrics.store_restores.set(self._routing_state.store_restores)
+            self._region_balancer.update()
             self._metrics.in_flight.set(self._request_handler.in_flight)
             silence_ms = self._target_contact.compute_silence_ms()
             self._metrics.target_silence.set(silence_ms / _MS_PER_S)
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -92,6 +92,12 @@
             ["side", "result"],
             registry=registry,
         )
+        self.region_weight = Gauge(
+            "waxwingshelf_region_weight",
+            "Factor of the weight of a region's targets that follows the demand of all regions.",
+            ["service", "region"],
+            registry=registry,
+        )
         self.in_flight = Gauge(
             "waxwingshelf_requests_in_flight",
             "Requests in progress.",
--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from waxwingshelf.core.hashing import hash_to_uint32
@@ -55,7 +57,7 @@
     """A heartbeat for instances that know its sender; `demand` is in tenths of requests per second.
 
     `name_hash` and `boot` identify the sender's process. `acked_boot` and `acked_number` are the
-    heartbeat's ack; `acked_boot` is None if the sender's build does not tell. `reaches_targets` is
+    heartbeat's ack; `acked_boot` is None if the sender's build does not tell. The last fields are
     the heartbeat's.
     """
 
@@ -71,6 +73,8 @@
     acked_boot: int | None = None
     acked_number: int = 0
     reaches_targets: bool | None = None
+    service_slots: Any = None
+    region_slots: Any = None
 
 
 class BriefLoadReport(msgspec.Struct, array_like=True):
@@ -123,6 +127,8 @@
         heartbeat.ack.boot if heartbeat.ack else None,
         heartbeat.ack.number if heartbeat.ack else 0,
         heartbeat.reaches_targets,
+        heartbeat.service_slots,
+        heartbeat.region_slots,
     )
     return BRIEF_HEARTBEAT_TYPE + msgspec.msgpack.encode(brief)
 
@@ -168,6 +174,8 @@
         brief=True,
         ack=ack,
         reaches_targets=brief.reaches_targets,
+        service_slots=brief.service_slots,
+        region_slots=brief.region_slots,
     )
 
 
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -50,6 +50,7 @@
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, LoadReport, Peer, PeerAddress
 from waxwingshelf.steering.load_reports import choose_period_ms, choose_validity_ms
 from waxwingshelf.steering.mirror import Change, Position
+from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.sent_demand import DemandAck
 
 __all__ = ["STATE_PATH", "PeerNetwork"]
@@ -136,6 +137,7 @@
             BRIEF_LOAD_REPORT_TYPE: self._handle_brief_load_report,
             CHANGES_TYPE: self._handle_changes,
         }
+        self.regional_demand = RegionalDemand(settings.region)
         self.ready = False
         self.reaches_targets: Callable[[], bool] = lambda: True
         self.is_watching: Callable[[], bool] = lambda: True
@@ -187,10 +189,19 @@
             await self._session.close()
 
     def send_heartbeats(self) -> None:
-        """Send one heartbeat to every peer, or to some random peers in a large fleet."""
+        """Send one heartbeat to every peer, or to some random peers in a large fleet.
+
+        Peers in this region get this instance's demand, and others only the sum over the region.
+        """
         heartbeat = self._make_heartbeat()
+        now_ms = self._clock.now_ms()
+        own_slots = self.regional_demand.list_own(now_ms)
+        region_slots = self.regional_demand.list_region(now_ms)
         for peer in self._choose_recipients():
-            addressed = replace(heartbeat, ack=peer.used)
+            if peer.address.region == self.address.region:
+                addressed = replace(heartbeat, ack=peer.used, service_slots=own_slots)
+            else:
+                addressed = replace(heartbeat, ack=peer.used, region_slots=region_slots)
             encode = encode_brief_heartbeat if peer.brief else encode_heartbeat
             self.send_to(peer.address, encode(addressed))
 
@@ -309,6 +320,14 @@
     def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
         now_ms = self._clock.now_ms()
         is_new = self._fleet.record_heartbeat(heartbeat, now_ms)
+        if is_new:
+            self.regional_demand.record_peer(
+                heartbeat.address.name,
+                heartbeat.address.region,
+                heartbeat.service_slots,
+                heartbeat.region_slots,
+                now_ms,
+            )
         position = Position(heartbeat.era, heartbeat.revision)
         # In a small fleet every instance watches the store, so the periodic check is soon enough.
         if is_new and self._fleet.is_large() and position > self._routing_state.mirror.position:
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from typing import Any
 
 from waxwingshelf.core.hashing import hash_to_uint32, hash_to_unit_interval
 from waxwingshelf.steering.limits import compute_rate_share
@@ -74,7 +75,9 @@
     the sender reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat
     whose demand the sender's shares use; None if the sender's build does not tell.
     `reaches_targets` is False if the sender has lost its links to the targets, and None if its
-    build does not tell and does not send to targets for peers.
+    build does not tell and does not send to targets for peers. `service_slots` is the demand of the
+    sender's callers, and `region_slots` that of all callers in the sender's region, in tenths of
+    slots by hash of the service; each is None if not told. See `steering.regional_demand`.
     """
 
     address: PeerAddress
@@ -89,6 +92,9 @@
     brief: bool = False
     ack: DemandAck | None = None
     reaches_targets: bool | None = None
+    # Not checked when decoded, so that a malformed value leaves the rest of the heartbeat usable.
+    service_slots: Any = None
+    region_slots: Any = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -298,6 +304,14 @@
             self._regions = {self._region, *(peer.address.region for peer in self._peers.values())}
         return self._regions
 
+    def count_by_region(self) -> dict[str, int]:
+        """Return the number of instances in each region that may be running, with this one."""
+        counts = {self._region: 1}
+        for peer in self._peers.values():
+            region = peer.address.region
+            counts[region] = counts.get(region, 0) + 1
+        return counts
+
     def find_address(self, name: str) -> PeerAddress | None:
         """Return the address of a peer, or None if the peer is unknown."""
         peer = self._peers.get(name)
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -15,16 +15,18 @@
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.steering.durations import RouteDurations
+from waxwingshelf.steering.region_weights import (
+    LOCAL_FILL_FRACTION,
+    MAX_LOCAL_FRACTION,
+    RegionShift,
+    RegionWeights,
+)
+from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.scarcity import ScarceRegions
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
 
 __all__ = ["Locality", "Placement", "PlacementRequest", "Placer"]
 
-# The fraction of a region's requests that stay in the region if it has enough slots.
-_MAX_LOCAL_FRACTION = 0.85
-# The weight of local targets is chosen so that local requests fill about this fraction of the local
-# slots at full load, assuming that demand is equal in all regions.
-_LOCAL_FILL_FRACTION = 0.8
 _MAX_CACHED_RANKINGS = 4_096
 # A failed attempt costs the caller about this many times the latency objective: the retry and its
 # cold run.
@@ -90,23 +92,59 @@
 
 
 class Placer:
-    """Rank targets for requests; rankings are cached until the set of targets changes."""
-
-    def __init__(self, locality: Locality, registry: TargetRegistry) -> None:
+    """Rank targets for requests; rankings are cached until the targets or weights change."""
+
+    def __init__(
+        self,
+        locality: Locality,
+        registry: TargetRegistry,
+        region_weights: RegionWeights | None = None,
+    ) -> None:
         self._locality = locality
         self._registry = registry
         self._cache: dict[tuple[str, str, bool], list[TargetState]] = {}
         self._cache_version = -1
         self._scarce_regions: dict[str, ScarceRegions] = {}
+        self._region_weights = region_weights or RegionWeights(RegionalDemand(locality.region))
+
+    def record_request(
+        self, service: str, allowed_regions: frozenset[str], now_ms: int, work_ms: float = 0.0
+    ) -> None:
+        """Count a request towards the demand for the regions that it may use.
 
-    def record_request(self, service: str, allowed_regions: frozenset[str], now_ms: int) -> None:
-        """Count a request towards the demand for the regions that it may use."""
+        `work_ms` is its typical time at a target where its object is warm.
+        """
+        if not allowed_regions:
+            self._region_weights.demand.record_request(service, work_ms, now_ms)
         scarce_regions = self._scarce_regions.setdefault(service, ScarceRegions())
         scarce_regions.record(allowed_regions, now_ms)
         if not scarce_regions.is_update_due(now_ms):
             return
         if scarce_regions.update(self._count_slots_by_region(service), now_ms):
-            self._cache.clear()
+            self._drop_rankings(service)
+
+    def update_region_weights(self, service: str, now_ms: int) -> RegionShift | None:
+        """Adapt the weights of the regions to their demand; return the change, if any.
+
+        Requests that may run nowhere else take precedence: only the slots that they leave count.
+        """
+        states = self._registry.list_usable(service)
+        even_weights = self._compute_even_weights(service, states, unbound=True)
+        scarce_regions = self._scarce_regions.get(service)
+        slots: dict[str, float] = {}
+        base_weights: dict[str, float] = {}
+        for region, count in self._count_slots_by_region(service).items():
+            if region not in even_weights:
+                continue
+            free_fraction = scarce_regions.get_weight(region) if scarce_regions else 1.0
+            slots[region] = count * free_fraction
+            base_weights[region] = count * even_weights[region]
+        if not slots:
+            return None
+        shift = self._region_weights.update(service, slots, base_weights, now_ms)
+        if shift is not None:
+            self._drop_rankings(service)
+        return shift
 
     def find_earliest_send_ms(
         self, service: str, allowed_regions: frozenset[str], now_ms: int
@@ -198,6 +236,10 @@
             self._cache[key] = ranking
         return ranking
 
+    def _drop_rankings(self, service: str) -> None:
+        for key in [key for key in self._cache if key[0] == service]:
+            del self._cache[key]
+
     def _count_slots_by_region(self, service: str) -> dict[str, int]:
         slots: dict[str, int] = {}
         for state in self._registry.list_usable(service):
@@ -208,7 +250,16 @@
     def _compute_region_weights(
         self, service: str, states: list[TargetState], unbound: bool
     ) -> dict[str, float]:
-        """Return the weight of the targets of each region: nearness, and what is reserved."""
+        """Return the weight of the targets of each region: nearness, demand, what is reserved."""
+        weights = self._compute_even_weights(service, states, unbound)
+        for region in weights:
+            weights[region] *= self._region_weights.get_weight(service, region)
+        return weights
+
+    def _compute_even_weights(
+        self, service: str, states: list[TargetState], unbound: bool
+    ) -> dict[str, float]:
+        """Return the weight of the targets of each region if the demand is the same in all."""
         weights = dict.fromkeys(self._locality.region_by_domain.values(), 1.0)
         weights[self._locality.region] = self._compute_local_weight(states)
         scarce_regions = self._scarce_regions.get(service)
@@ -225,9 +276,7 @@
             return 1.0
         slot_fraction = local_slots / total_slots
         region_count = len(set(self._locality.region_by_domain.values()))
-        local_fraction = min(
-            _MAX_LOCAL_FRACTION, slot_fraction * region_count * _LOCAL_FILL_FRACTION
-        )
+        local_fraction = min(MAX_LOCAL_FRACTION, slot_fraction * region_count * LOCAL_FILL_FRACTION)
         weight = max(
             1.0, local_fraction * (1.0 - slot_fraction) / (slot_fraction * (1.0 - local_fraction))
         )
--- a/tests/serving/test_peer_messages.py
+++ b/tests/serving/test_peer_messages.py
@@ -1,6 +1,7 @@
 """Brief heartbeats and load reports, and instances that do not know their sender."""
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -10,6 +11,7 @@
     LOAD_REPORT_TYPE,
     decode_brief_heartbeat,
     decode_brief_load_report,
+    decode_heartbeat,
     encode_brief_heartbeat,
     encode_brief_load_report,
     encode_heartbeat,
@@ -45,13 +47,36 @@
     assert len(body) < len(encode_heartbeat(HEARTBEAT)) * MAX_BRIEF_HEARTBEAT_FRACTION
 
 
-@pytest.mark.parametrize(("missing_fields", "ack"), [(1, ACK), (3, None)])
+@pytest.mark.parametrize(("missing_fields", "ack"), [(3, ACK), (5, None)])
 def test_brief_heartbeats_of_earlier_builds_are_read(missing_fields, ack) -> None:
     row = msgspec.msgpack.decode(encode_brief_heartbeat(HEARTBEAT)[1:])
     body = msgspec.msgpack.encode(row[:-missing_fields])
     heartbeat = expand_heartbeat(decode_brief_heartbeat(body), ADDRESS)
     assert heartbeat.ack == ack
     assert heartbeat.reaches_targets is None
+    assert heartbeat.service_slots is None
+    assert heartbeat.region_slots is None
+
+
+def test_heartbeats_carry_the_demand_in_few_bytes() -> None:
+    """Heartbeats are the largest part of the traffic between regions, which is priced."""
+    slots = {4_000_000_000: 300, 17: 45, 3_000_000_000: 1_200}
+    told = replace(HEARTBEAT, region_slots=slots)
+    body = encode_brief_heartbeat(told)
+    assert expand_heartbeat(decode_brief_heartbeat(body[1:]), ADDRESS).region_slots == slots
+    assert decode_heartbeat(encode_heartbeat(told)[1:]).region_slots == slots
+    # At most eight bytes for each service with demand.
+    assert len(body) - len(encode_brief_heartbeat(HEARTBEAT)) <= 8 * len(slots)
+
+
+@pytest.mark.parametrize("value", ["x", 1.5, [1], {"x": 1}])
+def test_malformed_demand_leaves_the_rest_of_a_heartbeat(value) -> None:
+    row = msgspec.msgpack.decode(encode_brief_heartbeat(HEARTBEAT)[1:])
+    body = msgspec.msgpack.encode([*row[:-1], value])
+    heartbeat = expand_heartbeat(decode_brief_heartbeat(body), ADDRESS)
+    assert heartbeat.revision == HEARTBEAT.revision
+    full = msgspec.to_builtins(HEARTBEAT) | {"service_slots": value}
+    assert decode_heartbeat(msgspec.msgpack.encode(full)).boot == BOOT
 
 
 def test_brief_load_report_expands_to_the_full_one() -> None:
