--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -21,6 +21,8 @@
 from waxwingshelf.steering.limits import ColdTargetLimiter, RetryBudget
 from waxwingshelf.steering.load_reports import DurationAverage
 from waxwingshelf.steering.placement import Locality, Placement, Placer
+from waxwingshelf.steering.region_weights import RegionWeights
+from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.response_room import ResponseRoom
 from waxwingshelf.steering.target_limits import TargetRateShare
 from waxwingshelf.steering.target_pauses import TargetPause
@@ -75,6 +77,7 @@
         clock: Clock,
         metrics: Metrics,
         response_room: ResponseRoom,
+        regional_demand: RegionalDemand,
     ) -> None:
         self._response_room = response_room
         self._instance_name = instance_name
@@ -90,13 +93,14 @@
         self._attempt_numbers = itertools.count()
         self.duration_average = DurationAverage()
         self.organisation_loads = OrganisationLoads()
-        self.placer = Placer(locality, routing_state.targets)
+        self.region_weights = RegionWeights(regional_demand)
+        self.placer = Placer(locality, routing_state.targets, self.region_weights)
 
     def apply_settings(self, locality: Locality, bounds: Bounds) -> None:
         """Apply changed settings; retry budgets restart with the changed bounds."""
         self._bounds = bounds
         self._retry_budgets.clear()
-        self.placer = Placer(locality, self._routing_state.targets)
+        self.placer = Placer(locality, self._routing_state.targets, self.region_weights)
 
     def record_request(self, service: str) -> None:
         """Count a new request towards the retry budget of its service."""
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -39,6 +39,7 @@
 from waxwingshelf.serving.quarantine_store import QuarantineStore
 from waxwingshelf.serving.rate_limiter import RateLimiter
 from waxwingshelf.serving.reachability_prober import ReachabilityProber
+from waxwingshelf.serving.region_balancer import RegionBalancer
 from waxwingshelf.serving.relay import RelayEndpoint
 from waxwingshelf.serving.requests import RequestHandler
 from waxwingshelf.serving.response_buffer import ResponseBuffer
@@ -134,6 +135,10 @@
             clock,
             metrics,
             self._response_room,
+            self._peer_network.regional_demand,
+        )
+        self._region_balancer = RegionBalancer(
+            dispatch_state, self._routing_state, self._fleet, clock, metrics
         )
         self._prober = ReachabilityProber(
             self._target_contact,
@@ -357,6 +362,7 @@
                 self._response_writer.end_slow_readers(config.limits.idle_timeout_ms)
             self._metrics.response_bytes_held.set(self._response_room.held_bytes)
             self._metrics.store_restores.set(self._routing_state.store_restores)
+            self._region_balancer.update()
             self._metrics.in_flight.set(self._request_handler.in_flight)
             silence_ms = self._target_contact.compute_silence_ms()
             self._metrics.target_silence.set(silence_ms / _MS_PER_S)
