Take requests back slowly, move in common periods, and describe regional demand

Cause: the first version followed the wave down as fast as up. Steps without effect were made and logged. An instance that had just started took itself for the only one.

Weights return to the usual ones without a margin.

--- a/src/waxwingshelf/serving/region_balancer.py
+++ b/src/waxwingshelf/serving/region_balancer.py
@@ -42,8 +42,9 @@
         if config is None:
             return
         region_weights.forget_services(config.services)
+        placer = self._dispatch_state.placer
         for service in config.services:
-            shift = self._dispatch_state.placer.update_region_weights(service, now_ms)
+            shift = placer.update_region_weights(service, now_ms, self._clock.wall_ms())
             if shift is not None:
                 self._report(service, shift)
 
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -121,9 +121,9 @@
         if not scarce_regions.is_update_due(now_ms):
             return
         if scarce_regions.update(self._count_slots_by_region(service), now_ms):
-            self._drop_rankings(service)
+            self._cache.clear()
 
-    def update_region_weights(self, service: str, now_ms: int) -> RegionShift | None:
+    def update_region_weights(self, service: str, now_ms: int, wall_ms: int) -> RegionShift | None:
         """Adapt the weights of the regions to their demand; return the change, if any.
 
         Requests that may run nowhere else take precedence: only the slots that they leave count.
@@ -134,14 +134,14 @@
         slots: dict[str, float] = {}
         base_weights: dict[str, float] = {}
         for region, count in self._count_slots_by_region(service).items():
-            if region not in even_weights:
+            if region not in even_weights or count <= 0:
                 continue
             free_fraction = scarce_regions.get_weight(region) if scarce_regions else 1.0
             slots[region] = count * free_fraction
             base_weights[region] = count * even_weights[region]
         if not slots:
             return None
-        shift = self._region_weights.update(service, slots, base_weights, now_ms)
+        shift = self._region_weights.update(service, slots, base_weights, now_ms, wall_ms)
         if shift is not None:
             self._drop_rankings(service)
         return shift
--- a/src/waxwingshelf/steering/region_weights.py
+++ b/src/waxwingshelf/steering/region_weights.py
@@ -29,14 +29,20 @@
 # differ in their numbers of requests.
 _LOG_STEP = 0.18
 _MAX_MOVED_FRACTION = 0.045
-_STEP_INTERVAL_MS = 2_000
-# A region takes requests back more slowly than it gives them away: what it keeps too many of is
-# late, and what it could have kept only costs a longer way.
-_RETURN_INTERVAL_MS = 12_000
+_MIN_STEP_INTERVAL_MS = 2_000
+# Instances whose clocks agree move at the same time, once in each such period of the time of day.
+# It is longer than the least interval by the time between two updates.
+_STEP_PERIOD_MS = 2_250
+# A region takes requests back later and more slowly than it gives them away: those that it keeps in
+# excess are late, and those that it could have kept only take a longer way.
+_RETURN_DELAY_MS = 24_000
+_RETURN_INTERVAL_MS = 6_000
 # The exact step must differ from the current one by more than half a step, plus this margin.
 _HYSTERESIS_STEPS = 0.5
 # Which other region gets the rest matters less, and follows the demand less closely.
-_OTHERS_HYSTERESIS_STEPS = 2.0
+_OTHERS_HYSTERESIS_STEPS = 3.0
+# Fewer requests than this part are not worth a move.
+_MIN_ERROR_FRACTION = 0.01
 _MAX_STEP = 20
 _MIN_FRACTION = 1e-6
 # Some requests leave the region even if no other has free slots, so that weights stay finite.
@@ -49,9 +55,10 @@
 _SPREAD_SMOOTHING_MS = 15_000.0
 # The measured demand rises from zero for some seconds after a start.
 _SETTLING_MS = 5_000
-_TREND_SMOOTHING_MS = 3_000.0
-# The age of the known sums (about 2 s), and half the time between two steps.
-_LOOKAHEAD_MS = 3_000.0
+# Over shorter times, the trend is mostly the random variation of the requests' number.
+_TREND_SMOOTHING_MS = 6_000.0
+# The age of the known sums (about 1 s), and half the time between two steps.
+_LOOKAHEAD_MS = 2_000.0
 _MAX_TREND_FRACTION = 0.4
 # A region keeps no more than it could carry if its demand came back to the level from which it has
 # fallen, as weights change more slowly than demand may. That level falls over this time.
@@ -79,6 +86,7 @@
         "_next_return_ms",
         "_next_step_ms",
         "_peak",
+        "_period",
         "_ratios",
         "_updated_ms",
         "known_since_ms",
@@ -93,7 +101,8 @@
         self._updated_ms = now_ms
         self.known_since_ms = now_ms
         self._next_return_ms = now_ms
-        self._next_step_ms = now_ms + _STEP_INTERVAL_MS
+        self._next_step_ms = now_ms + _MIN_STEP_INTERVAL_MS
+        self._period = 0
 
     def observe(
         self, local: str, demand: Mapping[str, float], slots: Mapping[str, float], now_ms: int
@@ -136,8 +145,14 @@
         spread = max(self._ratios.values()) - min(self._ratios.values())
         return min(1.0, max(0.0, (spread - _MIN_SPREAD) / (_FULL_SPREAD - _MIN_SPREAD)))
 
-    def is_step_due(self, now_ms: int) -> bool:
-        return now_ms >= self._next_step_ms
+    def try_begin_step(self, now_ms: int, wall_ms: int) -> bool:
+        """Return whether the steps may move now; if so, not again for a while."""
+        period = wall_ms // _STEP_PERIOD_MS
+        if now_ms < self._next_step_ms or period == self._period:
+            return False
+        self._next_step_ms = now_ms + _MIN_STEP_INTERVAL_MS
+        self._period = period
+        return True
 
     def move(
         self,
@@ -147,7 +162,6 @@
         now_ms: int,
     ) -> float:
         """Move steps towards the exact ones; return the fraction of requests that move."""
-        self._next_step_ms = now_ms + _STEP_INTERVAL_MS
         for region in self.steps.keys() - base_weights.keys():
             del self.steps[region]
         moved = 0.0
@@ -155,10 +169,13 @@
             step = self._get(region)
             if not _is_clearly_off(exact[region], step, region == local):
                 continue
+            before = self._compute_fraction(region, base_weights)
+            error = before * (1.0 - before) * _LOG_STEP * abs(exact[region] - step)
+            if exact[region] != 0.0 and error < _MIN_ERROR_FRACTION:
+                continue
             is_return = region == local and exact[region] > step
-            if is_return and now_ms < self._next_return_ms:
+            if is_return and exact[region] != 0.0 and now_ms < self._next_return_ms:
                 continue
-            before = self._compute_fraction(region, base_weights)
             self.steps[region] = step + (1 if exact[region] > step else -1)
             change = abs(self._compute_fraction(region, base_weights) - before)
             if moved + change > _MAX_MOVED_FRACTION:
@@ -166,7 +183,8 @@
                 continue
             moved += change
             if region == local:
-                self._next_return_ms = now_ms + int(_RETURN_INTERVAL_MS)
+                delay_ms = _RETURN_INTERVAL_MS if is_return else _RETURN_DELAY_MS
+                self._next_return_ms = now_ms + delay_ms
         return moved
 
     def _get(self, region: str) -> int:
@@ -219,22 +237,24 @@
         slots: Mapping[str, float],
         base_weights: Mapping[str, float],
         now_ms: int,
+        wall_ms: int,
     ) -> RegionShift | None:
         """Observe the demand and move the weights if that is due; return the change, if any.
 
         `slots` are the slots of each region that may be used, and `base_weights` the sums of the
         weights of its targets while demand is even; both have the regions with such slots alone.
+        `wall_ms` is the time of day, which only decides when in an interval the weights move.
         """
         weights = self._services.get(service)
         if weights is None:
             weights = self._services[service] = _ServiceWeights(now_ms)
-        confidence = self.demand.compute_confidence(now_ms)
+        confidence = self.demand.compute_confidence(slots, now_ms)
         if confidence == 0.0:
             weights.forget_demand()
             weights.known_since_ms = now_ms
         demand = self.demand.get_demand(service)
         expected = weights.observe(self.demand.region, demand, slots, now_ms)
-        if not weights.is_step_due(now_ms):
+        if not weights.try_begin_step(now_ms, wall_ms):
             return None
         strength = weights.compute_strength() * confidence
         exact = dict.fromkeys(slots, 0.0)
--- a/src/waxwingshelf/steering/regional_demand.py
+++ b/src/waxwingshelf/steering/regional_demand.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from waxwingshelf.core.hashing import hash_to_uint32
@@ -154,9 +154,12 @@
             for region, region_sum in self._sums.items()
         }
 
-    def compute_confidence(self, now_ms: int) -> float:
-        """Return how far the sums of all regions with instances count, from 0 to 1."""
-        regions = {self.region, *self._instance_counts}
+    def compute_confidence(self, target_regions: Collection[str], now_ms: int) -> float:
+        """Return how far the sums of all regions with instances or targets count, from 0 to 1.
+
+        A region with targets whose instances are not known may have callers.
+        """
+        regions = {self.region, *self._instance_counts, *target_regions}
         sums = [self._sums.get(region) for region in regions]
         return min(
             region_sum.compute_confidence(now_ms) if region_sum else 0.0 for region_sum in sums
--- a/tests/serving/test_peer_messages.py
+++ b/tests/serving/test_peer_messages.py
@@ -138,3 +138,25 @@
         assert {data[:1] for data in received} == {HEARTBEAT_TYPE, LOAD_REPORT_TYPE}
 
     run_scenario(scenario)
+
+
+def test_instances_learn_the_demand_of_another_region(run_scenario) -> None:
+    """An instance that knows only its own callers cannot tell that another region is short."""
+
+    async def scenario(deployment) -> None:
+        first = await deployment.start_instance("n0")
+        second = await deployment.start_instance("s0", failure_domain="south-1")
+        for name in ("n0", "s0"):
+            await deployment.wait_until_ready(name)
+        known = second._peer_network.regional_demand
+
+        def record_and_check() -> bool:
+            first._dispatch_state.placer.record_request(
+                "reads", frozenset(), first._clock.now_ms(), 300.0
+            )
+            return known.get_demand("reads").get("north", 0.0) > 1.0
+
+        await deployment.wait_until(record_and_check)
+        assert known.get_demand("reads").get("south", 0.0) == 0.0
+
+    run_scenario(scenario)
--- a/tests/steering/regional_replay.py
+++ b/tests/steering/regional_replay.py
@@ -113,7 +113,7 @@
     def _update(self, instance: ReplayInstance) -> None:
         instance.demand.update(self.counts, self.now_ms)
         if self.adapts:
-            shift = instance.placer.update_region_weights(SERVICE, self.now_ms)
+            shift = instance.placer.update_region_weights(SERVICE, self.now_ms, self.now_ms)
             if shift is not None:
                 instance.shifts.append((self.now_ms, shift))
         same = [
--- a/tests/steering/test_regional_demand.py
+++ b/tests/steering/test_regional_demand.py
@@ -17,6 +17,7 @@
 MAX_MOVED = 0.05
 WINDOW_MS = 2_000
 START_MS = 10_000
+SLOTS_OF_TWO = ("c", "n")
 HASH = hash_to_uint32(SERVICE)
 
 
@@ -27,9 +28,10 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2])
-def test_all_regions_have_the_same_share_in_time(seed: int) -> None:
+@pytest.mark.parametrize("demand", [18.0, 21.0, 24.0])
+def test_all_regions_have_the_same_share_in_time(demand: float, seed: int) -> None:
     """Callers of the region with few targets were late while other regions had free slots."""
-    replay = Replay(SLOTS, EQUAL_DEMAND, seed=seed)
+    replay = Replay(SLOTS, dict.fromkeys(SLOTS, demand), seed=seed)
     replay.run(START_MS + 72_000)
     shares = replay.compute_shares(START_MS)
     assert max(shares.values()) - min(shares.values()) <= MAX_SHARE_DIFFERENCE
@@ -117,17 +119,17 @@
     demand.record_peer("n1", "n", None, {HASH: 5_000}, 0)
     demand.record_request(SERVICE, 1_000.0, 0)
     demand.update(counts, 100)
-    assert demand.compute_confidence(100) == 1.0
+    assert demand.compute_confidence(SLOTS_OF_TWO, 100) == 1.0
     assert demand.get_demand(SERVICE)["n"] == 500.0
     demand.update(counts, 10_000)
-    assert demand.compute_confidence(10_000) == 0.0
+    assert demand.compute_confidence(SLOTS_OF_TWO, 10_000) == 0.0
     assert demand.get_demand(SERVICE) == {}
     assert demand.list_region(10_000) is None
     for name in ("c2", "c3"):
         demand.record_peer(name, "c", {HASH: 10}, None, 10_050)
     demand.record_peer("n1", "n", None, {HASH: 30}, 10_050)
     demand.update(counts, 10_100)
-    assert demand.compute_confidence(10_100) == 1.0
+    assert demand.compute_confidence(SLOTS_OF_TWO, 10_100) == 1.0
     assert demand.get_demand(SERVICE) == {"c": pytest.approx(2.0), "n": 3.0}
 
 
@@ -156,14 +158,15 @@
 def test_sum_with_too_few_known_instances_is_kept() -> None:
     """The demand of a few instances says little of the region's."""
     demand = RegionalDemand("c")
+    demand.record_peer("n1", "n", None, {HASH: 30}, 1_000)
     for number in range(9):
         demand.record_peer(f"c{number}", "c", {HASH: 10}, None, 0)
     demand.update({"c": 10}, 0)
     known = demand.get_demand(SERVICE)
     demand.update({"c": 30}, 1_000)
     assert demand.get_demand(SERVICE) == known
-    assert demand.compute_confidence(1_000) == 1.0
-    assert 0.0 < demand.compute_confidence(6_000) < 1.0
+    assert demand.compute_confidence(SLOTS_OF_TWO, 1_000) == 1.0
+    assert 0.0 < demand.compute_confidence(SLOTS_OF_TWO, 6_000) < 1.0
 
 
 @pytest.mark.parametrize(
@@ -212,5 +215,22 @@
     for now_ms in range(0, 10_000, 250):
         demand.record_request(SERVICE, 300.0, now_ms)
         demand.update({"c": 1}, now_ms)
-        weights.update(SERVICE, slots, slots, now_ms)
+        weights.update(SERVICE, slots, slots, now_ms, now_ms)
     assert all(weights.get_weight(SERVICE, region) > 0.0 for region in REGIONS.values())
+
+
+def test_region_whose_instances_are_not_known_may_have_callers() -> None:
+    """An instance that has just started knows no peers, and must not take itself for the only."""
+    demand = RegionalDemand("c")
+    demand.record_request(SERVICE, 1_000.0, 0)
+    demand.update({"c": 1}, 100)
+    assert demand.compute_confidence(["c"], 100) == 1.0
+    assert demand.compute_confidence(["c", "n"], 100) == 0.0
+
+
+def test_peers_of_earlier_builds_leave_weights_as_they_were() -> None:
+    """A peer that tells nothing must not count as one without demand."""
+    demand = RegionalDemand("c")
+    demand.record_peer("n1", "n", None, None, 0)
+    demand.update({"c": 1, "n": 1}, 100)
+    assert demand.compute_confidence(["c", "n"], 100) == 0.0
