Forget the observed demand of regions after a stall of the process

Cause: the trend and the recent peak were forgotten only while the sums were unknown. A process that stalled for 10 s finds fresh heartbeats when it resumes, so that it went on with the trend and the peak of before the stall.

Change: they are also forgotten if the last update is more than 4 s ago.

--- a/src/waxwingshelf/steering/region_weights.py
+++ b/src/waxwingshelf/steering/region_weights.py
@@ -55,6 +55,8 @@
 _SPREAD_SMOOTHING_MS = 15_000.0
 # The measured demand rises from zero for some seconds after a start.
 _SETTLING_MS = 5_000
+# As long as figures of peers count.
+_MAX_UPDATE_GAP_MS = 4_000
 # Over shorter times, the trend is mostly the random variation of the requests' number.
 _TREND_SMOOTHING_MS = 6_000.0
 # The age of the known sums (about 1 s), and half the time between two steps.
@@ -83,13 +85,13 @@
 
     __slots__ = (
         "_averages",
+        "_known_since_ms",
         "_next_return_ms",
         "_next_step_ms",
         "_peak",
         "_period",
         "_ratios",
         "_updated_ms",
-        "known_since_ms",
         "steps",
     )
 
@@ -99,7 +101,7 @@
         self._ratios: dict[str, float] = {}
         self._peak = 0.0
         self._updated_ms = now_ms
-        self.known_since_ms = now_ms
+        self._known_since_ms = now_ms
         self._next_return_ms = now_ms
         self._next_step_ms = now_ms + _MIN_STEP_INTERVAL_MS
         self._period = 0
@@ -110,7 +112,7 @@
         """Return the demand that the trend shows for the time that the next step takes effect."""
         elapsed_ms = now_ms - self._updated_ms
         self._updated_ms = now_ms
-        if now_ms - self.known_since_ms >= _SETTLING_MS:
+        if now_ms - self._known_since_ms >= _SETTLING_MS:
             self._observe_ratios(demand, slots, elapsed_ms)
         weight = 1.0 - math.exp(-elapsed_ms / _TREND_SMOOTHING_MS)
         averages: dict[str, float] = {}
@@ -132,8 +134,13 @@
         """Return the recent peak of the local demand."""
         return self._peak
 
-    def forget_demand(self) -> None:
+    def is_outdated(self, now_ms: int) -> bool:
+        """Return whether the observed demand is too old to use, as after a stall of the process."""
+        return now_ms - self._updated_ms > _MAX_UPDATE_GAP_MS
+
+    def forget_demand(self, now_ms: int) -> None:
         """Drop all observed demand, as it is outdated."""
+        self._known_since_ms = now_ms
         self._averages.clear()
         self._ratios.clear()
         self._peak = 0.0
@@ -249,9 +256,8 @@
         if weights is None:
             weights = self._services[service] = _ServiceWeights(now_ms)
         confidence = self.demand.compute_confidence(slots, now_ms)
-        if confidence == 0.0:
-            weights.forget_demand()
-            weights.known_since_ms = now_ms
+        if confidence == 0.0 or weights.is_outdated(now_ms):
+            weights.forget_demand(now_ms)
         demand = self.demand.get_demand(service)
         expected = weights.observe(self.demand.region, demand, slots, now_ms)
         if not weights.try_begin_step(now_ms, wall_ms):
--- a/tests/steering/test_regional_demand.py
+++ b/tests/steering/test_regional_demand.py
@@ -133,6 +133,31 @@
     assert demand.get_demand(SERVICE) == {"c": pytest.approx(2.0), "n": 3.0}
 
 
+@pytest.mark.parametrize("stalled", [True, False])
+def test_weights_after_a_cut_follow_only_what_is_known_since(stalled: bool) -> None:
+    """The trend and the peak of before the cut are of another phase of the wave."""
+    demand = RegionalDemand("c")
+    weights = RegionWeights(demand)
+    slots = {"c": 10.0, "n": 40.0}
+
+    def update(units: int, start_ms: int, end_ms: int, is_cut: bool = False) -> None:
+        for now_ms in range(start_ms, end_ms, 250):
+            if not is_cut:
+                demand.record_peer("c2", "c", {HASH: units}, None, now_ms)
+                demand.record_peer("n1", "n", None, {HASH: 40}, now_ms)
+            demand.update({"c": 2, "n": 1}, now_ms)
+            weights.update(SERVICE, slots, slots, now_ms, now_ms)
+
+    update(300, 0, 20_000)
+    assert weights._services[SERVICE].peak == pytest.approx(30.0)
+    # A stalled process runs no updates, and finds fresh heartbeats when it resumes.
+    if not stalled:
+        update(0, 20_000, 30_000, is_cut=True)
+    update(10, 30_000, 31_000)
+    assert weights._services[SERVICE].peak <= 1.0
+    assert weights._services[SERVICE].compute_strength() == 0.0
+
+
 def test_weights_return_to_todays_while_an_instance_is_cut_off() -> None:
     """An instance that knows nothing assumes equal demand; it forgets what it had observed."""
     replay = Replay(SLOTS, {"c": 31.0, "n": 16.0, "s": 16.0})
