Make the tests of fair shares fail without what they guard

Cause: on a scratch copy without shares, without headroom or with the former delays, three tests still passed: the greedy requests were late before the others came, the order alone kept urgent requests ahead, and the simulation of callers used its own delays.

On the scratch copy without shares and with the former delays, the test on the whole path and all four seeds of the other fail.

--- a/tests/serving/test_fair_shares.py
+++ b/tests/serving/test_fair_shares.py
@@ -6,12 +6,16 @@
 from tests.serving.conftest import CONFIG
 from waxwingshelf.serving import requests
 
-SLOW_S = 0.2
+SLOW_S = 0.3
 
 
 def make_config() -> dict:
     config = copy.deepcopy(CONFIG)
     config["version"] = "r2"
+    # Long enough that the greedy organisation's requests are not late before the others come.
+    for rule in config["listeners"][0]["rules"]:
+        rule["target_latency_ms"] = 1_500
+        rule["action"]["timeout_ms"] = 2_000
     config["tenants"].append(
         {"name": "bolt", "api_keys": ["bolt-key"], "priority": 1, "rate_per_s": 1000, "burst": 500}
     )
@@ -19,7 +23,7 @@
 
 
 def test_greedy_organisation_does_not_delay_another(run_scenario, monkeypatch) -> None:
-    """Requests waited in order of arrival, so 40 of one organisation delayed all later ones."""
+    """Requests waited in order of arrival, so 60 of one organisation delayed all later ones."""
     lines: list[dict] = []
     monkeypatch.setattr(requests._log, "info", lambda event, **fields: lines.append(fields))
 
@@ -29,7 +33,7 @@
         instance = await deployment.start_instance("n0")
         await deployment.wait_until_ready("n0")
         await deployment.send_request("/read/warm")
-        greedy = [asyncio.create_task(deployment.send_request("/read/x")) for _ in range(40)]
+        greedy = [asyncio.create_task(deployment.send_request("/read/x")) for _ in range(60)]
         await asyncio.sleep(0.05)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -38,7 +42,8 @@
         )
         elapsed_s = loop.time() - started_s
         assert [response.status for response in others] == [200] * 4
-        # The four take the next slots; behind all of the greedy organisation they took over 1 s.
+        # The four take the next slots. In order of arrival, they would wait until the others are
+        # late, over 1 s.
         assert elapsed_s < 3 * SLOW_S
         statuses = [response.status for response in await asyncio.gather(*greedy)]
         assert set(statuses) == {200, 503}
--- a/tests/steering/test_fair_order.py
+++ b/tests/steering/test_fair_order.py
@@ -208,6 +208,17 @@
     assert fleet.placed[kinds[1]] >= min(50, fleet.arrived[kinds[1]] / 2)
 
 
+@pytest.mark.parametrize(("urgent_per_s", "read_per_s"), [(20.0, 40.0), (60.0, 80.0)])
+def test_headroom_lets_urgent_requests_meet_their_objective(urgent_per_s, read_per_s) -> None:
+    """By order alone, 0.81 to 0.90 of the urgent requests met it: long reads held all slots."""
+    kinds = [
+        Kind("o", urgent_per_s, 1.0, 0, URGENT.work_ms, URGENT.objective_ms),
+        Kind("o", read_per_s, 1.0, 2, READ.work_ms, READ.objective_ms),
+    ]
+    fleet = SimulatedFleet(kinds, 18, instances=4).run(20_000)
+    assert fleet.compute_share(kinds[:1]) >= 0.93
+
+
 @pytest.mark.parametrize(("slots", "headroom"), [(1, 0), (2, 1), (3, 1), (6, 1), (10, 2)])
 def test_headroom_is_at_least_one_slot_but_never_all(slots, headroom) -> None:
     """A target with a single slot could otherwise never take less urgent requests."""
--- a/tests/steering/test_waiting.py
+++ b/tests/steering/test_waiting.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from waxwingshelf.serving import exchange
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
 
@@ -180,7 +181,7 @@
             for waiter in self.queue.expire(now_ms):
                 arrived_ms, number = waiter.item
                 self.refusals[number] = self.refusals.get(number, 0) + 1
-                wait_ms = max(150, min(2_000, waiter.expected_wait_ms))
+                wait_ms = exchange.choose_retry_after_ms(waiter.expected_wait_ms)
                 self.returns.append((now_ms + wait_ms, arrived_ms, number))
             self.queue.place_waiting(now_ms, lambda _, now_ms=now_ms: self.place(now_ms))
 
@@ -206,15 +207,16 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_few_callers_are_refused_twice_after_a_burst(seed) -> None:
+def test_few_callers_are_refused_twice_after_a_burst(seed, monkeypatch) -> None:
     """All callers of a burst were told about the same time, and about half were refused again."""
+    monkeypatch.setattr(exchange, "_rng", random.Random(seed))
     simulation = _RetrySimulation(seed)
     simulation.run(0, 4_000, 30)
     simulation.run(4_000, 6_000, 90)
     simulation.run(6_000, 14_000, 25)
     refused_twice = sum(count > 1 for count in simulation.refusals.values())
     assert len(simulation.refusals) >= 20
-    assert refused_twice <= 0.3 * len(simulation.refusals)
+    assert refused_twice <= 0.25 * len(simulation.refusals)
 
 
 def test_announced_returns_of_one_kind_follow_each_other() -> None:
