Estimate the quantile of durations once in eight requests

Cause: the scan of the histogram took 7.7 us for each repeatable request.

Change: an estimate is used for eight more durations.

Shown by: tests/steering, tests/platform, test_hedged_sender, test_own_settings, test_path, test_imports passed.

--- a/src/waxwingshelf/steering/hedging.py
+++ b/src/waxwingshelf/steering/hedging.py
@@ -33,6 +33,8 @@
 _MIN_SAMPLES = 40
 # When the counts reach this sum, they are halved, so that earlier durations count less.
 _MAX_SAMPLES = 512
+# An estimate is used for this many further durations, as it takes some microseconds.
+_ESTIMATE_USES = 8
 _MAX_ROUTES = 1_024
 _MAX_TOKENS = 3.0
 # Sums of ratios like 0.1 stay just below whole tokens.
@@ -47,17 +49,21 @@
     The estimate is at most a tenth too high.
     """
 
-    __slots__ = ("_counts", "_total")
+    __slots__ = ("_counts", "_estimate_ms", "_recorded", "_total")
 
     def __init__(self) -> None:
         self._counts = array("f", bytes(4 * _BUCKETS))
         self._total = 0.0
+        self._estimate_ms: int | None = None
+        # Durations since the estimate.
+        self._recorded = 0
 
     def record(self, duration_ms: int) -> None:
         """Add one duration."""
         index = int(math.log(max(1, duration_ms)) / _LOG_BUCKET_RATIO)
         self._counts[min(index, _BUCKETS - 1)] += 1.0
         self._total += 1.0
+        self._recorded += 1
         if self._total >= _MAX_SAMPLES:
             self._counts = array("f", [count / 2 for count in self._counts])
             self._total /= 2
@@ -66,13 +72,19 @@
         """Return the quantile in milliseconds, or None while too few durations are known."""
         if self._total < _MIN_SAMPLES:
             return None
+        if self._estimate_ms is None or self._recorded >= _ESTIMATE_USES:
+            self._estimate_ms = self._compute_ms()
+            self._recorded = 0
+        return self._estimate_ms
+
+    def _compute_ms(self) -> int:
         max_above = self._total * (1.0 - _QUANTILE)
         above = 0.0
         for index in range(_BUCKETS - 1, -1, -1):
             above += self._counts[index]
             if above > max_above:
                 return math.ceil(_BUCKET_RATIO ** (index + 1))
-        return None
+        return 1
 
 
 class RouteQuantiles:
