Adapt the copies of slow requests to the merged parts

Cause: the merge left the fakes of the copies with the earlier constructor and ranking, and the slowness of a send that was ended early was not corrected by the speed that its target reports.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -256,7 +256,8 @@
         state, typical_ms = attempt.state, attempt.placement.typical_ms
         ratio = (now_ms - attempt.sent_ms) / typical_ms
         if ratio > state.compute_slowness(now_ms, typical_ms):
-            state.record_duration(ratio, now_ms)
+            run_slowness = state.speed.estimate_run(attempt.speed, attempt.sent_ms, now_ms)
+            state.record_duration(ratio, now_ms, run_slowness)
 
     def looks_crashed(self, state: TargetState) -> bool:
         """Return whether a target has failed lately, or its entry is gone."""
--- a/tests/serving/hedging_fakes.py
+++ b/tests/serving/hedging_fakes.py
@@ -30,6 +30,8 @@
 from waxwingshelf.steering.limits import RateBucket
 from waxwingshelf.steering.placement import Locality
 from waxwingshelf.steering.refusals import Refusal
+from waxwingshelf.steering.regional_demand import RegionalDemand
+from waxwingshelf.steering.response_room import ResponseRoom, compute_budget_bytes
 from waxwingshelf.steering.targets import Target
 
 OBJECTIVE_MS, TIMEOUT_MS = 300, 4_000
@@ -127,7 +129,17 @@
             self.routing_state.targets.put(target, loop.now_ms())
         locality = Locality("north", "north-1", {"north-1": "north"})
         bounds = Bounds(retry_slack=1_000.0)
-        self.dispatch_state = DispatchState("n0", locality, bounds, self.routing_state, fleet, loop)
+        self.dispatch_state = DispatchState(
+            "n0",
+            locality,
+            bounds,
+            self.routing_state,
+            fleet,
+            loop,
+            self.metrics,
+            ResponseRoom(compute_budget_bytes(0)),
+            RegionalDemand("north"),
+        )
         self.sender = FakeSender(self.targets)
         self.suspected: set[str] = set()
         self.rate_tokens: list[str] = []
@@ -211,7 +223,7 @@
 
     def find_first(self, exchange: Exchange) -> str:
         """Return the target that the request is sent to first while all are idle."""
-        states = self.dispatch_state.placer._rank("reads", exchange.object_key, True)
+        states = self.dispatch_state.placer._rank("reads", exchange.object_key, True, False)
         return states[0].target.id
 
     def list_sent(self, exchange: Exchange) -> list[str]:
--- a/tests/serving/test_hedged_sender.py
+++ b/tests/serving/test_hedged_sender.py
@@ -290,7 +290,7 @@
     exchange, first = await prepare_slow(world)
     name = world.find_first(exchange)
     first.work_ms, first.result = 4 * WORK_MS, first_result
-    states = world.dispatch_state.placer._rank("reads", exchange.object_key, True)
+    states = world.dispatch_state.placer._rank("reads", exchange.object_key, True, False)
     assert states[0].target.id == name
     copy = world.targets[states[1].target.id]
     copy.result = copy_result
