Send callers of downloads to instances with fast links

A download of 540 KB takes 0.9 s on such a link, and the requests for tokens of rates wait behind it like everything else.

Ruled out: rate owners that do not answer (13 a second, against some 140 such waits), slots (the waits came at idle targets too).

Change: for hosts with download routes, the directory names four instances of the caller's failure domain instead of all. Fast links come first; among equals a hash of the caller and the instance decides, so that callers are spread and keep their instances. Other hosts are served as before.

--- a/src/waxwingshelf/serving/internal_endpoints.py
+++ b/src/waxwingshelf/serving/internal_endpoints.py
@@ -85,7 +85,14 @@
         has_downloads = config is not None and has_download_route(
             config, request.query.get("name", "")
         )
-        addresses = choose_addresses(ready, without_targets, region, failure_domain, has_downloads)
+        addresses = choose_addresses(
+            ready,
+            without_targets,
+            region,
+            failure_domain,
+            has_downloads,
+            request.remote or "",
+        )
         if not addresses:
             return web.Response(status=503)
         body = msgspec.json.encode(_Addresses(addresses, self._ttl_s))
--- a/src/waxwingshelf/steering/directory.py
+++ b/src/waxwingshelf/steering/directory.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Set
 
+from waxwingshelf.core.hashing import hash_to_unit_interval
 from waxwingshelf.steering.fleet import PeerAddress
 
 __all__ = ["choose_addresses"]
 
 _MAX_ADDRESSES = 64
-# With fewer, the loss of one instance would move too many requests to each of the others.
-_MIN_DOMAIN_ADDRESSES = 4
+# With fewer, the loss of one instance would move too many requests to each of the others. With
+# more, more large responses would go through slow links.
+_DOWNLOAD_ADDRESSES = 4
 
 
 def choose_addresses(
@@ -19,6 +22,7 @@
     region: str,
     failure_domain: str,
     has_downloads: bool = False,
+    caller: str = "",
 ) -> list[str]:
     """Return addresses of ready instances, those in the caller's failure domain first.
 
@@ -27,19 +31,28 @@
     one instance costs a caller at most one retry. Instances `without_targets`, which depend on
     their peers, are left out if the region has others.
 
-    Callers of a host that `has_downloads` get only instances of their own failure domain, as large
-    responses are expensive between failure domains, if enough of these reach targets.
+    Callers of a host that `has_downloads` get only a few instances of their own failure domain, if
+    enough of these reach targets: large responses are expensive between failure domains, and on a
+    slow link all requests wait behind them. Those with fast links come first; among links of about
+    one speed, each `caller` always gets the same ones, so that the callers are spread.
     """
     if has_downloads:
         own_domain = _list_own_domain(ready, without_targets, region, failure_domain)
-        if len(own_domain) >= _MIN_DOMAIN_ADDRESSES:
-            return [address.caller_address for address in own_domain[:_MAX_ADDRESSES]]
+        if len(own_domain) >= _DOWNLOAD_ADDRESSES:
+            own_domain.sort(key=lambda address: _rank_for_downloads(address, caller))
+            return [address.caller_address for address in own_domain[:_DOWNLOAD_ADDRESSES]]
     same_region = [address for address in ready if address.region == region]
     chosen = _prefer_with_targets(same_region or ready, without_targets)
     ordered = sorted(chosen, key=lambda address: address.failure_domain != failure_domain)
     return [address.caller_address for address in ordered[:_MAX_ADDRESSES]]
 
 
+def _rank_for_downloads(address: PeerAddress, caller: str) -> tuple[int, float]:
+    """Return a sort key: links within a power of two of speed count as equally fast."""
+    speed = math.floor(math.log2(max(1.0, address.link_mbps)))
+    return -speed, hash_to_unit_interval("directory", caller, address.name)
+
+
 def _list_own_domain(
     ready: list[PeerAddress], without_targets: Set[str], region: str, failure_domain: str
 ) -> list[PeerAddress]:
