Share the local weight and clarify names in steering and platform

Cause: a review for readers new to the project found the formula for the weight of the own region in both `placement` and `distances`, the type of finite amounts in two modules, names with more than one meaning ("distance" for a time between rounds, `_add`, `_advance`), and constants without a description.

Change: `distances.compute_local_weight` and `tolerant_decoding.Amount` replace the copies; short functions are extracted; names, comments and docstrings are clearer. `compute_round_distance_ms` is now `compute_min_round_interval_ms`, also in the dispatcher and its test. No behaviour is meant to change.

Tests of tests/serving were not run.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -14,7 +14,7 @@
     QUARANTINE_PREFIX,
     TARGET_PREFIX,
 )
-from waxwingshelf.platform.tolerant_decoding import FieldName, TolerantConverter
+from waxwingshelf.platform.tolerant_decoding import Amount, FieldName, TolerantConverter
 from waxwingshelf.steering.config import (
     CallerLimits,
     Destination,
@@ -57,8 +57,6 @@
 _LOWEST_PRIORITY = 1_000_000
 _MAX_PORT = 65_535
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-# Excludes what is not finite.
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
 
 class DecodeError(ValueError):
@@ -76,14 +74,14 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
-    rate_per_s: _Amount | None = None
-    burst: _Amount | None = None
+    rate_per_s: Amount | None = None
+    burst: Amount | None = None
     home_regions: list[str] | None = None
 
 
 class _SplitPart(msgspec.Struct):
     service: str
-    weight: _Amount = 1
+    weight: Amount = 1
 
 
 class _Match(msgspec.Struct):
@@ -93,7 +91,7 @@
 class _Action(msgspec.Struct):
     service: str | None = None
     traffic_split: list[_SplitPart] | None = None
-    timeout_ms: _Amount | None = None
+    timeout_ms: Amount | None = None
     attempts: int | None = None
     home_regions: list[str] | None = None
 
@@ -104,7 +102,7 @@
     kind: str = ""
     action: _Action = msgspec.field(default_factory=_Action)
     # The latency objective: a response within this time earns full credit.
-    target_latency_ms: _Amount | None = None
+    target_latency_ms: Amount | None = None
     priority: int | None = None
     public: bool | None = None
     sticky: bool | None = None
@@ -120,8 +118,8 @@
     name: str
     health_path: str = "/health"
     max_connections: int | None = None
-    cold_start_s: _Amount | None = None
-    cold_per_s: _Amount | None = None
+    cold_start_s: Amount | None = None
+    cold_per_s: Amount | None = None
 
 
 class _Config(msgspec.Struct):
@@ -141,7 +139,7 @@
 
 class _Status(msgspec.Struct):
     state: str
-    cold_remaining_ms: _Amount = 0
+    cold_remaining_ms: Amount = 0
     # Counts what the target has said of itself since its start.
     sequence: int = 0
 
@@ -171,7 +169,7 @@
     (_Cluster, "cold_start_s"): 3.0,
     (_Cluster, "cold_per_s"): 1.0,
 }
-# With the defaults of these, keys and routes would be missing.
+# If these fields got their defaults, keys and routes would be missing.
 _REQUIRED: tuple[FieldName, ...] = (
     (_Config, "tenants"),
     (_Config, "listeners"),
--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -5,11 +5,12 @@
 import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
 from waxwingshelf.platform.tolerant_decoding import (
+    Amount,
     FieldName,
     MalformedValue,
     TolerantConverter,
@@ -17,9 +18,6 @@
 
 __all__ = ["Bounds", "Endpoint", "InstanceSettings", "InvalidSettingsError", "load_settings"]
 
-# Excludes what is not finite.
-_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
-
 
 class InvalidSettingsError(Exception):
     """A settings file is unreadable or invalid; the message names the file and the error."""
@@ -85,8 +83,8 @@
 
 
 class _Limits(msgspec.Struct):
-    link_mbps: _Amount = 0.0
-    memory_mb: _Amount = 0.0
+    link_mbps: Amount = 0.0
+    memory_mb: Amount = 0.0
 
 
 class _Self(msgspec.Struct):
@@ -120,13 +118,13 @@
 
 
 class _Bounds(msgspec.Struct):
-    grace_period_s: _Amount = 6
-    ttl_max_s: _Amount = 5
-    retry_budget_ratio: _Amount = 0.2
-    retry_budget_slack: _Amount = 56
-    cold_overage: _Amount = 1.5
-    cold_slack: _Amount = 5
-    quota_slack: _Amount = 20
+    grace_period_s: Amount = 6
+    ttl_max_s: Amount = 5
+    retry_budget_ratio: Amount = 0.2
+    retry_budget_slack: Amount = 56
+    cold_overage: Amount = 1.5
+    cold_slack: Amount = 5
+    quota_slack: Amount = 20
 
 
 class _Terms(msgspec.Struct):
--- a/src/waxwingshelf/platform/target_responses.py
+++ b/src/waxwingshelf/platform/target_responses.py
@@ -37,6 +37,7 @@
 _MAX_PAUSE_MS = 600_000
 _MAX_LOGGED_CHARACTERS = 100
 _IDLE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})(?:$|[,;\s])", re.IGNORECASE)
+# Running, waiting and slots, and the optional percentage.
 _LOAD = re.compile(
     r"\s*(\d{1,9})\s*,\s*(\d{1,9})\s*,\s*(\d{1,9})\s*(?:$|,(?:\s*(\d{1,9})\s*(?:$|,))?)", re.ASCII
 )
@@ -74,8 +75,9 @@
     match = _LOAD.match(text or "")
     if match is None:
         return None
-    percent = int(match[4]) if match[4] else 0
-    return Load(int(match[1]), int(match[2]), int(match[3]), percent / _USUAL_PERCENT or None)
+    percent = int(match[4] or 0)
+    slowness = percent / _USUAL_PERCENT if percent > 0 else None
+    return Load(int(match[1]), int(match[2]), int(match[3]), slowness)
 
 
 def parse_rate_limit(text: str | None, target_id: str) -> NamedLimit | None:
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -278,7 +278,9 @@
 
     def _compute_wait_ms(self, service: str) -> int:
         """Return the time until the next round of a long queue, 0 or less if it is due."""
-        distance_ms = max(_MIN_ROUND_DISTANCE_MS, self._queues[service].compute_round_distance_ms())
+        distance_ms = max(
+            _MIN_ROUND_DISTANCE_MS, self._queues[service].compute_min_round_interval_ms()
+        )
         return self._served_at_ms.get(service, 0) + distance_ms - self._clock.now_ms()
 
     def _serve_scheduled(self, service: str) -> None:
--- a/src/waxwingshelf/steering/distances.py
+++ b/src/waxwingshelf/steering/distances.py
@@ -12,7 +12,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-__all__ = ["ResponseSize", "compute_distance_ms", "compute_domain_weight"]
+from waxwingshelf.steering.region_weights import LOCAL_FILL_FRACTION, MAX_LOCAL_FRACTION
+
+__all__ = [
+    "ResponseSize",
+    "compute_distance_ms",
+    "compute_domain_weight",
+    "compute_local_weight",
+]
 
 # Responses up to this size cost nothing extra: they fit in a few packets more than a head does.
 _SMALL_RESPONSE_BYTES = 32_768
@@ -26,8 +33,7 @@
 _SMOOTHING_FACTOR = 0.1
 # The fraction of a failure domain's requests that stay there if it has enough slots.
 _MAX_OWN_FRACTION = 0.85
-# The fraction of the slots that the requests of the own failure domain, or region, fill at full
-# load.
+# The fraction of the failure domain's slots that its own requests fill at full load.
 _FILL_FRACTION = 0.8
 
 
@@ -84,10 +90,10 @@
     # The slots that the requests of one failure domain need at full load.
     needed_slots = total_slots / len(region_by_domain)
     own_fraction = min(_MAX_OWN_FRACTION, _FILL_FRACTION * own_slots / needed_slots)
-    region_weight = _compute_region_weight(
+    local_weight = compute_local_weight(
         region_slots, total_slots, len(set(region_by_domain.values()))
     )
-    rest_weight = (total_slots - region_slots) / region_weight
+    rest_weight = (total_slots - region_slots) / local_weight
     sibling_slots = region_slots - own_slots
     weight = _compute_odds(own_fraction) * (sibling_slots + rest_weight) / own_slots
     # Requests that must stay in the region leave the failure domain as often.
@@ -102,15 +108,17 @@
     return float(2 ** math.floor(math.log2(max(1.0, weight))))
 
 
-def _compute_region_weight(region_slots: int, total_slots: int, regions: int) -> float:
+def compute_local_weight(local_slots: int, total_slots: int, regions: int) -> float:
     """Return the weight of the own region's targets while the demand of all regions is equal."""
-    if region_slots == total_slots:
+    if local_slots in (0, total_slots):
         return 1.0
-    slot_fraction = region_slots / total_slots
-    kept_fraction = min(_MAX_OWN_FRACTION, slot_fraction * regions * _FILL_FRACTION)
-    weight = max(1.0, _compute_odds(kept_fraction) / _compute_odds(slot_fraction))
+    slot_fraction = local_slots / total_slots
+    local_fraction = min(MAX_LOCAL_FRACTION, slot_fraction * regions * LOCAL_FILL_FRACTION)
+    weight = max(1.0, _compute_odds(local_fraction) / _compute_odds(slot_fraction))
+    # Rounded to a power of two, so that adding or removing a target moves only its own objects.
     return float(2 ** round(math.log2(weight)))
 
 
 def _compute_odds(fraction: float) -> float:
+    """Return the ratio of a fraction to the rest."""
     return fraction / (1.0 - fraction)
--- a/src/waxwingshelf/steering/fair_order.py
+++ b/src/waxwingshelf/steering/fair_order.py
@@ -16,7 +16,7 @@
 import heapq
 import math
 import statistics
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
@@ -37,12 +37,14 @@
 _MAX_COUNT = 100_000
 _EXPIRY_INTERVAL_MS = 100
 _DEFAULT_WEIGHT = 1.0
-_AVERAGING_MS = 2_000.0
+_USAGE_SMOOTHING_MS = 2_000.0
 # The part of the present number of requests in flight that counts besides their average, so that
 # several slots that become free at the same time do not all go to one organisation.
 _PRESENT_FRACTION = 0.1
+# In requests in flight; averages below it are dropped.
 _MIN_KEPT_AVERAGE = 0.01
 _MAX_KEPT_AVERAGES = 4_096
+# The fraction of a target's slots that less urgent requests leave to urgent ones.
 _HEADROOM_FRACTION = 0.2
 
 
@@ -98,13 +100,13 @@
         """Count a request that this instance sends to a target."""
         key = hash_organisation(service, organisation)
         self._update_average(key, now_ms)
-        _add(self._own, key, 1)
+        _change_count(self._own, key, 1)
 
     def finish(self, service: str, organisation: str, now_ms: int) -> None:
         """Count the end of a request."""
         key = hash_organisation(service, organisation)
         self._update_average(key, now_ms)
-        _add(self._own, key, -1)
+        _change_count(self._own, key, -1)
 
     def count(self, service: str, organisation: str, now_ms: int) -> int:
         """Return the known requests in flight of an organisation at a service."""
@@ -117,7 +119,7 @@
         key = hash_organisation(service, organisation)
         average = self._averages.get(key)
         present = self._count(key)
-        value = 0.0 if average is None else _advance(average, present, now_ms)
+        value = 0.0 if average is None else _compute_average(average, present, now_ms)
         return value + present * _PRESENT_FRACTION
 
     def list_largest(self) -> dict[int, int]:
@@ -141,7 +143,7 @@
         self._peers[peer] = _PeerCounts(bounded, valid_until_ms)
         for key, count in bounded.items():
             self._update_average(key, now_ms)
-            _add(self._peer_totals, key, count)
+            _change_count(self._peer_totals, key, count)
 
     def _count(self, key: int) -> int:
         return self._own.get(key, 0) + self._peer_totals.get(key, 0)
@@ -150,7 +152,7 @@
         """Include the time for which the present count has stood; call this before it changes."""
         average = self._averages.get(key)
         if average is not None:
-            average.value = _advance(average, self._count(key), now_ms)
+            average.value = _compute_average(average, self._count(key), now_ms)
             average.at_ms = now_ms
             return
         if len(self._averages) >= _MAX_KEPT_AVERAGES:
@@ -161,7 +163,8 @@
         self._averages = {
             key: average
             for key, average in self._averages.items()
-            if (present := self._count(key)) or _advance(average, present, now_ms) > max_value
+            if (present := self._count(key))
+            or _compute_average(average, present, now_ms) > max_value
         }
 
     def _expire(self, now_ms: int) -> None:
@@ -171,7 +174,7 @@
         for name, peer in list(self._peers.items()):
             if now_ms >= peer.valid_until_ms:
                 self._remove_peer(name, now_ms)
-        if now_ms - self._cleaned_at_ms >= _AVERAGING_MS:
+        if now_ms - self._cleaned_at_ms >= _USAGE_SMOOTHING_MS:
             self._cleaned_at_ms = now_ms
             self._remove_idle_averages(now_ms, _MIN_KEPT_AVERAGE)
 
@@ -181,7 +184,7 @@
             return
         for key, count in peer.counts.items():
             self._update_average(key, now_ms)
-            _add(self._peer_totals, key, -count)
+            _change_count(self._peer_totals, key, -count)
 
 
 class OrganisationWeights:
@@ -241,7 +244,7 @@
         stream = _Stream(organisation, weight, usage, group, head, items)
         heapq.heappush(self._heap, (usage / weight, head.sequence, stream))
 
-    def pop(self, blocked_groups: frozenset[frozenset[str]] | set[frozenset[str]]) -> _T | None:
+    def pop(self, blocked_groups: Set[frozenset[str]]) -> _T | None:
         """Return the next item that is in none of the blocked groups, or None."""
         heap = self._heap
         while heap:
@@ -272,13 +275,13 @@
         return (stream.usage + placed * _PRESENT_FRACTION) / stream.weight
 
 
-def _advance(average: _Average, present: int, now_ms: int) -> float:
+def _compute_average(average: _Average, present: int, now_ms: int) -> float:
     """Return an average after a time in which the count was `present`."""
-    kept = math.exp(-max(0, now_ms - average.at_ms) / _AVERAGING_MS)
+    kept = math.exp(-max(0, now_ms - average.at_ms) / _USAGE_SMOOTHING_MS)
     return present + (average.value - present) * kept
 
 
-def _add(counts: dict[int, int], key: int, change: int) -> None:
+def _change_count(counts: dict[int, int], key: int, change: int) -> None:
     count = counts.get(key, 0) + change
     if count > 0:
         counts[key] = count
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -14,15 +14,14 @@
 from dataclasses import dataclass
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
-from waxwingshelf.steering.distances import compute_distance_ms, compute_domain_weight
+from waxwingshelf.steering.distances import (
+    compute_distance_ms,
+    compute_domain_weight,
+    compute_local_weight,
+)
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.fair_order import compute_headroom
-from waxwingshelf.steering.region_weights import (
-    LOCAL_FILL_FRACTION,
-    MAX_LOCAL_FRACTION,
-    RegionShift,
-    RegionWeights,
-)
+from waxwingshelf.steering.region_weights import RegionShift, RegionWeights
 from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.scarcity import ScarceRegions
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
@@ -278,7 +277,7 @@
     def _compute_region_weights(
         self, service: str, states: list[TargetState], unbound: bool
     ) -> dict[str, float]:
-        """Return the weight of the targets of each region: nearness, demand, what is reserved."""
+        """Return the weight of the targets of each region: nearness, demand, reserved slots."""
         weights = self._compute_even_weights(service, states, unbound)
         for region in weights:
             weights[region] *= self._region_weights.get_weight(service, region)
@@ -300,16 +299,8 @@
         """Return the weight of a local target relative to a target in another region."""
         local_slots = sum(state.target.slots for state in states if self._is_local(state))
         total_slots = sum(state.target.slots for state in states)
-        if local_slots == 0 or local_slots == total_slots:
-            return 1.0
-        slot_fraction = local_slots / total_slots
         region_count = len(set(self._locality.region_by_domain.values()))
-        local_fraction = min(MAX_LOCAL_FRACTION, slot_fraction * region_count * LOCAL_FILL_FRACTION)
-        weight = max(
-            1.0, local_fraction * (1.0 - slot_fraction) / (slot_fraction * (1.0 - local_fraction))
-        )
-        # Rounded to a power of two, so that adding or removing a target moves only its own objects.
-        return float(2 ** round(math.log2(weight)))
+        return compute_local_weight(local_slots, total_slots, region_count)
 
     def _compute_domain_weight(self, states: list[TargetState]) -> float:
         slots: dict[str, int] = {}
--- a/src/waxwingshelf/steering/region_weights.py
+++ b/src/waxwingshelf/steering/region_weights.py
@@ -18,15 +18,21 @@
 
 from waxwingshelf.steering.regional_demand import RegionalDemand
 
-__all__ = ["LOCAL_FILL_FRACTION", "MAX_LOCAL_FRACTION", "RegionShift", "RegionWeights"]
+__all__ = [
+    "LOCAL_FILL_FRACTION",
+    "MAX_LOCAL_FRACTION",
+    "RegionShift",
+    "RegionWeights",
+    "compute_fractions",
+]
 
 # The fraction of a region's requests that stay in the region if it has enough slots.
 MAX_LOCAL_FRACTION = 0.85
 # The requests of a region's callers fill about this fraction of its slots at full load.
 LOCAL_FILL_FRACTION = 0.8
-# Weights are e to the power of this times the step. A step of one region's weight moves at most
-# tanh(0.18 / 4) < 0.045 of the objects, which leaves a margin to 0.05 of the requests, as objects
-# differ in their numbers of requests.
+# A weight is e to the power of this constant times its step. A step of one region's weight moves at
+# most tanh(0.18 / 4) < 0.045 of the objects, which leaves a margin to 0.05 of the requests, as
+# objects differ in their numbers of requests.
 _LOG_STEP = 0.18
 _MAX_MOVED_FRACTION = 0.045
 _MIN_STEP_INTERVAL_MS = 2_000
@@ -85,12 +91,12 @@
 
     __slots__ = (
         "_averages",
+        "_demand_ratios",
         "_known_since_ms",
         "_next_return_ms",
         "_next_step_ms",
         "_peak",
         "_period",
-        "_ratios",
         "_updated_ms",
         "steps",
     )
@@ -98,7 +104,7 @@
     def __init__(self, now_ms: int) -> None:
         self.steps: dict[str, int] = {}
         self._averages: dict[str, float] = {}
-        self._ratios: dict[str, float] = {}
+        self._demand_ratios: dict[str, float] = {}
         self._peak = 0.0
         self._updated_ms = now_ms
         self._known_since_ms = now_ms
@@ -109,7 +115,7 @@
     def observe(
         self, local: str, demand: Mapping[str, float], slots: Mapping[str, float], now_ms: int
     ) -> dict[str, float]:
-        """Return the demand that the trend shows for the time that the next step takes effect."""
+        """Record the demand; return what its trend predicts for when the next step takes effect."""
         elapsed_ms = now_ms - self._updated_ms
         self._updated_ms = now_ms
         if now_ms - self._known_since_ms >= _SETTLING_MS:
@@ -142,18 +148,18 @@
         """Drop all observed demand, as it is outdated."""
         self._known_since_ms = now_ms
         self._averages.clear()
-        self._ratios.clear()
+        self._demand_ratios.clear()
         self._peak = 0.0
 
     def compute_strength(self) -> float:
         """Return how far the weights follow the demand, from 0 (as even) to 1."""
-        if not self._ratios:
+        if not self._demand_ratios:
             return 0.0
-        spread = max(self._ratios.values()) - min(self._ratios.values())
+        spread = max(self._demand_ratios.values()) - min(self._demand_ratios.values())
         return min(1.0, max(0.0, (spread - _MIN_SPREAD) / (_FULL_SPREAD - _MIN_SPREAD)))
 
     def try_begin_step(self, now_ms: int, wall_ms: int) -> bool:
-        """Return whether the steps may move now; if so, not again for a while."""
+        """Return whether the steps may move now; if so, they may not again in this period."""
         period = wall_ms // _STEP_PERIOD_MS
         if now_ms < self._next_step_ms or period == self._period:
             return False
@@ -177,8 +183,7 @@
             if not _is_clearly_off(exact[region], step, region == local):
                 continue
             before = self._compute_fraction(region, base_weights)
-            error = before * (1.0 - before) * _LOG_STEP * abs(exact[region] - step)
-            if exact[region] != 0.0 and error < _MIN_ERROR_FRACTION:
+            if exact[region] != 0.0 and _is_negligible(exact[region] - step, before):
                 continue
             is_return = region == local and exact[region] > step
             if is_return and exact[region] != 0.0 and now_ms < self._next_return_ms:
@@ -215,9 +220,9 @@
             ratio = 1.0
             if total_demand > 0.0:
                 ratio = demand.get(region, 0.0) / slots[region] / (total_demand / total_slots)
-            average = self._ratios.get(region, 1.0)
+            average = self._demand_ratios.get(region, 1.0)
             ratios[region] = average + weight * (ratio - average)
-        self._ratios = ratios
+        self._demand_ratios = ratios
 
 
 class RegionWeights:
@@ -303,13 +308,21 @@
 
 
 def _is_clearly_off(exact: float, step: int, is_local: bool) -> bool:
-    # If demand is even or not known, weights return to those of `placement` without a margin.
+    # An exact step of 0 means that demand is even or not known. Weights then return to those of
+    # `placement` without a margin.
     if exact == 0.0:
         return step != 0
     margin = _HYSTERESIS_STEPS if is_local else _OTHERS_HYSTERESIS_STEPS
     return abs(exact - step) > 0.5 + margin
 
 
+def _is_negligible(missing_steps: float, fraction: float) -> bool:
+    """Return whether the missing steps of a region with this fraction move too few requests."""
+    # The derivative of the fraction with respect to the logarithm of the region's weight.
+    sensitivity = fraction * (1.0 - fraction)
+    return sensitivity * _LOG_STEP * abs(missing_steps) < _MIN_ERROR_FRACTION
+
+
 def _compute_remote_fraction(demand: float, kept: float | None, free: float) -> float:
     if kept is None:
         return 1.0
--- a/src/waxwingshelf/steering/wait_estimates.py
+++ b/src/waxwingshelf/steering/wait_estimates.py
@@ -16,7 +16,7 @@
 
 from waxwingshelf.steering.throughput import Throughput
 
-__all__ = ["WaitEstimates", "WaiterKind"]
+__all__ = ["Group", "WaitEstimates", "WaiterKind"]
 
 _MS_PER_S = 1_000
 # A few late requests may always wait, as nothing is known of the capacity at first.
@@ -25,6 +25,7 @@
 _MAX_RETURN_MS = 2_000
 _MAX_KINDS = 1_024
 
+# The regions that a request may run in; empty for all.
 Group = frozenset[str]
 
 
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -41,10 +41,11 @@
 _MIN_COMPACTION_SIZE = 64
 # A judgement of 2,000 late requests takes about 8 ms, and is then made every 200 ms.
 _JUDGED_LATE_PER_MS = 10
-# Each organisation that waits adds about 5 microseconds to a round.
-_STREAMS_PER_DISTANCE_MS = 16
+# A bucket adds about 5 microseconds to a round, so this bounds that part of the time to 8 %.
+_BUCKETS_PER_INTERVAL_MS = 16
 # Less urgent requests leave headroom for this long after a more urgent one has waited.
 _HEADROOM_MS = 1_000
+_NO_GROUPS: frozenset[Group] = frozenset()
 
 
 @dataclass(slots=True)
@@ -164,9 +165,9 @@
         """Return whether the queue has reached its maximum length."""
         return len(self._waiters) >= self._max_waiting
 
-    def compute_round_distance_ms(self) -> int:
+    def compute_min_round_interval_ms(self) -> int:
         """Return the least time between two rounds, so that many organisations cost no more."""
-        return sum(map(len, self._tiers.values())) // _STREAMS_PER_DISTANCE_MS
+        return sum(map(len, self._tiers.values())) // _BUCKETS_PER_INTERVAL_MS
 
     def add(self, waiter: Waiter[_T]) -> bool:
         """Add a request; return False if the queue is full."""
@@ -189,7 +190,7 @@
     def expire(self, now_ms: int) -> list[Waiter[_T]]:
         """Remove and return the requests that will probably miss their deadline.
 
-        If many late requests wait, they are judged only now and then.
+        The more late requests wait, the longer the time between two judgements of them.
         """
         self._move_late(now_ms)
         if now_ms - self._judged_at_ms < self._late_count // _JUDGED_LATE_PER_MS:
@@ -202,11 +203,11 @@
             if not tier[0]:
                 continue
             merge = self._merge(tier, now_ms)
-            while (waiter := merge.pop(set())) is not None:
+            while (waiter := merge.pop(_NO_GROUPS)) is not None:
                 position = positions.get(waiter.group, 0)
                 if waiter.group not in rates:
                     rates[waiter.group] = self._estimates.compute_late_rate(waiter.group, now_ms)
-                wait_ms = (position + 1) / rates[waiter.group] * _MS_PER_S
+                wait_ms = _compute_wait_ms(position, rates[waiter.group])
                 if now_ms + wait_ms <= waiter.latest_send_ms:
                     positions[waiter.group] = position + 1
                     merge.record_placed(waiter.organisation)
@@ -263,7 +264,7 @@
         """Return in how many milliseconds the caller of a request that was not added may return."""
         waiter.position = self.estimate_position(waiter, now_ms)
         late_rate = self._estimates.compute_late_rate(waiter.group, now_ms)
-        wait_ms = (waiter.position + 1) / late_rate * _MS_PER_S
+        wait_ms = _compute_wait_ms(waiter.position, late_rate)
         return self._estimates.announce_return(waiter.kind, wait_ms, now_ms)
 
     def needs_headroom(self, waiter: Waiter[_T], now_ms: int) -> bool:
@@ -302,7 +303,7 @@
         ordered: list[Waiter[_T]] = []
         for tier in sorted(self._tiers):
             merge = self._merge(tier, now_ms)
-            while (waiter := merge.pop(set())) is not None:
+            while (waiter := merge.pop(_NO_GROUPS)) is not None:
                 merge.record_placed(waiter.organisation)
                 ordered.append(waiter)
         return ordered
@@ -365,6 +366,7 @@
         )
 
     def _record_waits(self, now_ms: int) -> None:
+        """Record which priorities and groups have requests waiting; see `needs_headroom`."""
         for (_, priority, route_priority), buckets in self._tiers.items():
             for bucket in buckets.values():
                 self._last_waits_ms[(priority, route_priority, bucket.group)] = now_ms
@@ -376,6 +378,7 @@
             }
 
     def _move_late(self, now_ms: int) -> None:
+        """Move the requests that have become late to the tiers of late requests."""
         late_times = self._late_times
         while late_times and late_times[0][0] <= now_ms:
             _, sequence = heapq.heappop(late_times)
@@ -420,6 +423,11 @@
     return 0.0
 
 
+def _compute_wait_ms(position: int, rate_per_s: float) -> float:
+    """Return how long a request waits that has `position` others before it."""
+    return (position + 1) / rate_per_s * _MS_PER_S
+
+
 def _find_tier(waiter: Waiter[_T], now_ms: int) -> _Tier:
     late = now_ms >= min(waiter.late_from_ms, waiter.latest_send_ms)
     return (late, waiter.priority, waiter.route_priority)
--- a/tests/steering/test_waiting.py
+++ b/tests/steering/test_waiting.py
@@ -353,7 +353,7 @@
     queue: WaitQueue[int] = WaitQueue()
     for number in range(1_600):
         queue.add(Waiter(number, 1, 500, 900, organisation=f"o{number % organisations}"))
-    assert queue.compute_round_distance_ms() == distance_ms
+    assert queue.compute_min_round_interval_ms() == distance_ms
 
 
 @pytest.mark.parametrize(
