Clarify names and comments of hedging, the queue and held responses

No values, messages, settings, metrics or log events change.

Result: ruff, black and mypy are clean. 188 tests passed of tests/serving/test_{hedged_sender,own_settings,idle_connections, fair_shares,slow_readers}.py, tests/steering/test_hedging.py and tests/test_pages.py, and 67 of tests/serving/test_{upstream,path,relay, target_limit,endless_bytes,target_pause,shutdown}.py. Other tests were not run.

--- a/src/waxwingshelf/serving/attempt_outcomes.py
+++ b/src/waxwingshelf/serving/attempt_outcomes.py
@@ -7,7 +7,6 @@
 
 __all__ = ["classify_outcome"]
 
-_MIN_FAILURE_STATUS = 500
 _OUTCOMES = {
     FailureKind.NOT_CONNECTED: AttemptOutcome.NOT_CONNECTED,
     FailureKind.UNREACHABLE: AttemptOutcome.UNREACHABLE,
@@ -21,6 +20,5 @@
 def classify_outcome(result: UpstreamResponse | SendFailure) -> AttemptOutcome:
     """Return the outcome of an attempt, as far as the next step depends on it."""
     if isinstance(result, UpstreamResponse):
-        failed = result.status >= _MIN_FAILURE_STATUS
-        return AttemptOutcome.ANSWERED_FAILURE if failed else AttemptOutcome.ANSWERED
+        return AttemptOutcome.ANSWERED_FAILURE if result.is_failure else AttemptOutcome.ANSWERED
     return _OUTCOMES.get(result.kind, AttemptOutcome.UNCERTAIN)
--- a/src/waxwingshelf/serving/crash_detector.py
+++ b/src/waxwingshelf/serving/crash_detector.py
@@ -67,7 +67,7 @@
         probe.add_done_callback(self._probes.discard)
 
     def is_probing(self, target: Target) -> bool:
-        """Return whether a connection to the target broke, and it is not known why."""
+        """Return whether the target is being probed because a connection to it broke."""
         return target.run in self._lost
 
     def close(self) -> None:
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import structlog
@@ -32,7 +33,7 @@
 
 __all__ = ["Attempt", "DispatchState"]
 
-# Until a response of the route has arrived; downloads have up to about that many bytes.
+# Assumed until a response of the route has arrived; about the size of the largest usual downloads.
 _INITIAL_DOWNLOAD_BYTES = 524_288
 _SUCCESS_STATUSES = range(200, 300)
 # One failure raises the rate to 0.25; it falls below this within a second.
@@ -162,6 +163,19 @@
         """Return whether this instance has room for the response to a download."""
         return self._response_room.has_room_for_download(download_bytes)
 
+    def try_start_attempt(
+        self,
+        placements: Iterable[Placement],
+        organisation: str,
+        download_bytes: int,
+        now_ms: int,
+    ) -> Attempt | None:
+        """Start an attempt at the first target that may receive a request now, if there is one."""
+        for placement in placements:
+            if self.try_acquire_send(placement.state, now_ms):
+                return self.start_attempt(placement, organisation, download_bytes)
+        return None
+
     def start_attempt(
         self, placement: Placement, organisation: str = "", download_bytes: int = 0
     ) -> Attempt:
@@ -230,7 +244,7 @@
         now_ms = self._clock.now_ms()
         state = attempt.state
         if isinstance(result, UpstreamResponse):
-            state.record_outcome(result.status >= 500, now_ms)
+            state.record_outcome(result.is_failure, now_ms)
             self._record_duration(route, attempt, now_ms - attempt.sent_ms, now_ms)
             state.record_warm_object(object_key, now_ms)
             if result.status in _SUCCESS_STATUSES:
@@ -247,7 +261,7 @@
         state.record_outcome(True, now_ms)
 
     def record_unfinished(self, attempt: Attempt) -> None:
-        """Record the slowness that an attempt shows that was ended before its response.
+        """Record the slowness shown by an attempt that was cancelled before its response.
 
         It would have taken at least as long. Otherwise, a slow target would look usual, as another
         target answers its requests.
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -25,7 +25,12 @@
 from waxwingshelf.serving.hedged_sender import HedgedSender
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.routing_state import RoutingState
-from waxwingshelf.serving.send_results import OutgoingRequest, SendFailure, UpstreamResponse
+from waxwingshelf.serving.send_results import (
+    OutgoingRequest,
+    SendFailure,
+    UpstreamResponse,
+    allow_send,
+)
 from waxwingshelf.serving.target_sender import TargetSender
 from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
 from waxwingshelf.steering.placement import PlacementRequest
@@ -36,10 +41,11 @@
 
 _MS_PER_S = 1_000
 _QUEUE_POLL_INTERVAL_S = 0.02
-# A round of placement costs up to a few hundred microseconds if many requests wait. Then, rounds
-# for new requests, which may not overtake waiting ones, and for ended ones have this distance.
-_MIN_ROUND_DISTANCE_MS = 5
-_MAX_CHEAP_WAITING = 8
+# A round of placement takes up to a few hundred microseconds if many requests wait. New and ended
+# requests then start a round no sooner than this after the last one.
+_MIN_ROUND_INTERVAL_MS = 5
+# Queues up to this length are served at once.
+_MAX_SHORT_QUEUE_LENGTH = 8
 _log = structlog.get_logger("dispatcher")
 
 
@@ -65,11 +71,6 @@
 _QueuedRequest = tuple[Exchange, "asyncio.Future[Attempt | _NoPlacement]"]
 
 
-def _allow() -> bool:
-    """Allow the send; the default permission."""
-    return True
-
-
 class Dispatcher:
     """Dispatch requests to targets and queue those that no target has capacity for."""
 
@@ -93,7 +94,7 @@
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
         self._has_waiting = asyncio.Event()
         self._served_at_ms: dict[str, int] = {}
-        # Services whose queue will be served after the minimum distance of rounds.
+        # Services whose queue will be served after the minimum interval between rounds.
         self._scheduled_services: set[str] = set()
         # The versions of what decides whether the waiting requests of a service can be placed, when
         # these were last judged.
@@ -109,7 +110,7 @@
             await self._has_waiting.wait()
             await asyncio.sleep(_QUEUE_POLL_INTERVAL_S)
             for service in list(self._queues):
-                self._refuse_waiting(service)
+                self._refuse_late(service)
                 self._serve_soon(service)
             if not any(self._queues.values()):
                 self._has_waiting.clear()
@@ -150,7 +151,7 @@
         waiter = self._build_waiter(exchange)
         if queue.is_full():
             retry_after_ms = choose_retry_after_ms(queue.announce_return(waiter, now_ms))
-            self._record_order(waiter)
+            self._record_queue_position(waiter)
             return refuse(
                 exchange, RefusalReason.NO_ROOM, Step.PLACE, "the queue is full", retry_after_ms
             )
@@ -164,9 +165,9 @@
         self._has_waiting.set()
         if has_preceding:
             self._serve_soon(exchange.service)
-        return await self._wait(queue, waiter)
+        return await self._wait_in_queue(queue, waiter)
 
-    async def _wait(
+    async def _wait_in_queue(
         self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
     ) -> Attempt | Refusal:
         exchange, future = waiter.item
@@ -212,7 +213,7 @@
             choice=(exchange.object_key, exchange.priority) if has_choice else None,
         )
 
-    def _record_order(self, waiter: Waiter[_QueuedRequest]) -> None:
+    def _record_queue_position(self, waiter: Waiter[_QueuedRequest]) -> None:
         """Record the position in the queue and the share of a request that is refused."""
         exchange = waiter.item[0]
         usage = self._dispatch_state.organisation_loads.compute_usage(
@@ -265,11 +266,11 @@
         return self._get_quarantine_ms(exchange) == 0
 
     def _serve_soon(self, service: str) -> None:
-        """Serve a queue now, or after the minimum distance of rounds if many requests wait."""
+        """Serve a queue now, or after the minimum interval between rounds if many requests wait."""
         if service in self._scheduled_services or not (queue := self._queues.get(service)):
             return
         wait_ms = self._compute_wait_ms(service)
-        if wait_ms <= 0 or len(queue) <= _MAX_CHEAP_WAITING:
+        if wait_ms <= 0 or len(queue) <= _MAX_SHORT_QUEUE_LENGTH:
             self._serve_queue(service)
             return
         self._scheduled_services.add(service)
@@ -278,8 +279,8 @@
 
     def _compute_wait_ms(self, service: str) -> int:
         """Return the time until the next round of a long queue, 0 or less if it is due."""
-        distance_ms = max(_MIN_ROUND_DISTANCE_MS, self._queues[service].compute_round_distance_ms())
-        return self._served_at_ms.get(service, 0) + distance_ms - self._clock.now_ms()
+        interval_ms = max(_MIN_ROUND_INTERVAL_MS, self._queues[service].compute_round_distance_ms())
+        return self._served_at_ms.get(service, 0) + interval_ms - self._clock.now_ms()
 
     def _serve_scheduled(self, service: str) -> None:
         self._scheduled_services.discard(service)
@@ -294,7 +295,7 @@
         place = functools.partial(self._place_waiter, queue)
         queue.place_waiting(self._clock.now_ms(), place)
 
-    def _refuse_waiting(self, service: str) -> None:
+    def _refuse_late(self, service: str) -> None:
         """Refuse the waiting requests that will probably get no target before their deadline."""
         queue = self._queues.get(service)
         if not queue:
@@ -305,7 +306,7 @@
             detail = f"{len(queue)} requests are waiting, {self._describe_targets(service, now_ms)}"
             retry_after_ms = choose_retry_after_ms(waiter.expected_wait_ms)
             expired = _NoPlacement(RefusalReason.NO_ROOM, detail, retry_after_ms)
-            self._record_order(waiter)
+            self._record_queue_position(waiter)
             _resolve(waiter.item[1], expired)
 
     def _describe_targets(self, service: str, now_ms: int) -> str:
@@ -362,12 +363,10 @@
             download_bytes > 0,
             leaves_headroom,
         )
-        for placement in self._dispatch_state.placer.choose(request, now_ms):
-            if self._dispatch_state.try_acquire_send(placement.state, now_ms):
-                return self._dispatch_state.start_attempt(
-                    placement, exchange.organisation, download_bytes
-                )
-        return None
+        placements = self._dispatch_state.placer.choose(request, now_ms)
+        return self._dispatch_state.try_start_attempt(
+            placements, exchange.organisation, download_bytes, now_ms
+        )
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
         hedged_sender = self._hedged_sender
@@ -385,7 +384,7 @@
         exchange: Exchange,
         attempt: Attempt,
         outgoing: OutgoingRequest,
-        may_send: Callable[[], bool] = _allow,
+        may_send: Callable[[], bool] = allow_send,
     ) -> UpstreamResponse | SendFailure:
         """Send one attempt, if `may_send` allows it once there is a connection."""
         target = attempt.state.target
--- a/src/waxwingshelf/serving/exchange.py
+++ b/src/waxwingshelf/serving/exchange.py
@@ -25,6 +25,7 @@
 
 _RETRY_AFTER_RANGE_MS = (150, 450)
 _MAX_RETRY_AFTER_MS = 2_000
+# Largest random deviation, as a fraction of the delay.
 _RETRY_AFTER_SPREAD = 0.1
 _rng = random.Random()
 
@@ -95,7 +96,7 @@
 
 
 def exclude_target(exchange: Exchange, result: UpstreamResponse | SendFailure) -> None:
-    """Note the target of a failed attempt; exclude it from the next ones if it is to blame."""
+    """Record the target of a failed attempt, and exclude it unless the links were lost."""
     exchange.last_failed_target_id = result.target_id
     if not (isinstance(result, SendFailure) and result.links_lost):
         exchange.excluded_targets.add(result.target_id)
--- a/src/waxwingshelf/serving/hedge_results.py
+++ b/src/waxwingshelf/serving/hedge_results.py
@@ -15,13 +15,12 @@
 
 __all__ = ["choose_failure", "counts_as_answer"]
 
-_MIN_FAILURE_STATUS = 500
 # Responses that tell the caller that the request did not run; the other send may have run it.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class _Weight(IntEnum):
-    """How much a failure decides about the next step."""
+class _Precedence(IntEnum):
+    """Which of two failures decides about the next step: the one with the higher value."""
 
     NOT_SENT = 0
     NOT_RUN = 1
@@ -31,34 +30,37 @@
 
 
 def counts_as_answer(result: SendResult | None) -> bool:
-    """Return whether a response is final while the other send may still bring another one."""
+    """Return whether a result is a response for the caller, whatever the other send brings."""
     if not isinstance(result, UpstreamResponse):
         return False
-    return result.status < _MIN_FAILURE_STATUS and result.status not in _NOT_RUN_STATUSES
+    return not result.is_failure and result.status not in _NOT_RUN_STATUSES
 
 
 def choose_failure(exchange: Exchange, first: SendResult, copy: SendResult) -> SendResult:
-    """Return the failure that decides about the next step, and take note of the other one.
+    """Return the failure that decides about the next step, and record the other one.
 
-    A request that may have run decides. One that certainly did not would be sent again without a
-    retry token, or let the caller be told that nothing ran.
+    A send that may have run decides. If one that certainly did not run decided, the request could
+    be sent again without a retry token, or the caller be told that nothing ran.
     """
     chosen, other = first, copy
-    if _weigh(copy) > _weigh(first):
+    if _find_precedence(copy) > _find_precedence(first):
         chosen, other = copy, first
     exchange.attempts.record_failure(classify_outcome(other))
     # A withdrawn copy may have been withdrawn for other reasons than its target.
     if not (isinstance(other, SendFailure) and other.kind is FailureKind.WITHDRAWN):
         exclude_target(exchange, other)
-    if isinstance(other, UpstreamResponse) and _weigh(other) is _Weight.ANSWERED_FAILURE:
+    if (
+        isinstance(other, UpstreamResponse)
+        and _find_precedence(other) is _Precedence.ANSWERED_FAILURE
+    ):
         exchange.failed_response = other
     return chosen
 
 
-def _weigh(result: SendResult) -> _Weight:
+def _find_precedence(result: SendResult) -> _Precedence:
     if isinstance(result, UpstreamResponse):
         is_not_run = result.status in _NOT_RUN_STATUSES
-        return _Weight.ANSWERED_NOT_RUN if is_not_run else _Weight.ANSWERED_FAILURE
+        return _Precedence.ANSWERED_NOT_RUN if is_not_run else _Precedence.ANSWERED_FAILURE
     if result.kind.certainly_not_sent:
-        return _Weight.NOT_SENT
-    return _Weight.NOT_RUN if result.kind.certainly_not_run else _Weight.MAYBE_RUN
+        return _Precedence.NOT_SENT
+    return _Precedence.NOT_RUN if result.kind.certainly_not_run else _Precedence.MAYBE_RUN
--- a/src/waxwingshelf/serving/hedged_sender.py
+++ b/src/waxwingshelf/serving/hedged_sender.py
@@ -1,4 +1,4 @@
-"""Send a request that is slow to be answered to a second target, and end the one that loses.
+"""Send a copy of a slow request to a second target, and cancel the send that loses.
 
 Both sends are tasks of their own. The first response that counts is returned; the other send is
 cancelled, which closes its connection, so that its response reaches nobody. A caller that leaves
@@ -21,7 +21,12 @@
 from waxwingshelf.serving.hedge_results import choose_failure, counts_as_answer
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.rate_limiter import Admission
-from waxwingshelf.serving.send_results import OutgoingRequest, SendFailure, SendResult
+from waxwingshelf.serving.send_results import (
+    OutgoingRequest,
+    SendFailure,
+    SendResult,
+    allow_send,
+)
 from waxwingshelf.steering.config import RouteKind
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.hedging import (
@@ -40,9 +45,11 @@
 # No target is expected to take less than this fraction of the usual time; with less left, no costs
 # are estimated.
 _MIN_WORK_FRACTION = 0.5
+# The values of the metric's label `result`, which is that of the copy.
+_METRIC_RESULTS = {Hedging.FIRST: "lost", Hedging.COPY: "won", Hedging.NEITHER: "failed"}
 _log = structlog.get_logger("hedged_sender")
 
-# Sends one attempt, unless the permission is gone once there is a connection.
+# Sends one attempt, unless the last argument returns False once there is a connection.
 SendAttempt = Callable[
     [Attempt, OutgoingRequest, Callable[[], bool]], Coroutine[Any, Any, SendResult]
 ]
@@ -50,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyConditions:
-    """What a copy depends on outside this module.
+    """The checks of other modules that a copy must pass.
 
     `is_crash_suspected` tells whether a target, or the request with a fingerprint, is suspected of
     a crash. `acquire_rate` takes a token of an organisation's rate.
@@ -122,7 +129,7 @@
         hedge = _Hedge(exchange, attempt, send_attempt, has_waiting)
         tasks: list[asyncio.Task[Any]] = []
         try:
-            first = asyncio.create_task(send_attempt(attempt, exchange.outgoing, _allow))
+            first = asyncio.create_task(send_attempt(attempt, exchange.outgoing, allow_send))
             tasks.append(first)
             copy = await self._start_copy(hedge, first, tasks)
             if copy is None:
@@ -132,7 +139,7 @@
                 return result
             return await self._choose_result(hedge, first, copy)
         finally:
-            await _end(tasks)
+            await _cancel(tasks)
 
     async def _start_copy(
         self, hedge: _Hedge, first: asyncio.Task[SendResult], tasks: list[asyncio.Task[Any]]
@@ -188,12 +195,12 @@
             exchange.service,
             exchange.object_key,
             # A few candidates suffice; estimating all takes 1 ms with 271 targets.
-            True,
-            exchange.route.latency_objective_ms,
-            exchange.allowed_regions,
+            sticky=True,
+            latency_objective_ms=exchange.route.latency_objective_ms,
+            allowed_regions=exchange.allowed_regions,
             # The first target is not excluded: the next one would count as warm in its place.
-            frozenset(exchange.excluded_targets),
-            durations,
+            excluded_targets=frozenset(exchange.excluded_targets),
+            durations=durations,
             # The cost is compared with the remaining time instead of the first target's cost.
             waited_ms=max(0, time_left_ms),
             response_bytes=self._dispatch_state.get_response_size(exchange.route).mean_bytes,
@@ -207,9 +214,9 @@
         durations = self._dispatch_state.get_durations(exchange.route)
         if exchange.object_key != exchange.id:
             return durations
-        alike = RouteDurations(durations.latency_objective_ms)
-        alike.warm_ms = alike.cold_ms = durations.warm_ms
-        return alike
+        only_warm = RouteDurations(durations.latency_objective_ms)
+        only_warm.warm_ms = only_warm.cold_ms = durations.warm_ms
+        return only_warm
 
     async def _send_copy(self, hedge: _Hedge, quantile_ms: int) -> SendResult | None:
         """Send the copy; return None if a limit or the targets do not allow it."""
@@ -243,12 +250,10 @@
         download_bytes = self._dispatch_state.estimate_download_bytes(exchange.route)
         if download_bytes and not self._dispatch_state.has_room_for_download(download_bytes):
             return None
-        for placement in self._list_placements(hedge, quantile_ms):
-            if self._dispatch_state.try_acquire_send(placement.state, now_ms):
-                return self._dispatch_state.start_attempt(
-                    placement, exchange.organisation, download_bytes
-                )
-        return None
+        placements = self._list_placements(hedge, quantile_ms)
+        return self._dispatch_state.try_start_attempt(
+            placements, exchange.organisation, download_bytes, now_ms
+        )
 
     async def _choose_result(
         self,
@@ -262,28 +267,28 @@
             done, running = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
             if first in done and counts_as_answer(first.result()):
                 self._record_duration(hedge)
-                self._settle(hedge, Hedging.FIRST, hedge.copy if copy in running else None)
+                self._record_outcome(hedge, Hedging.FIRST, hedge.copy if copy in running else None)
                 return first.result()
             if copy in done and counts_as_answer(result := copy.result()):
                 assert result is not None
                 if first in running:
                     self._record_duration(hedge)
-                self._settle(hedge, Hedging.COPY, hedge.first if first in running else None)
+                self._record_outcome(hedge, Hedging.COPY, hedge.first if first in running else None)
                 return result
         copy_result = copy.result()
         if copy_result is None:
             return first.result()
-        self._settle(hedge, Hedging.NEITHER, None)
+        self._record_outcome(hedge, Hedging.NEITHER, None)
         return choose_failure(hedge.exchange, first.result(), copy_result)
 
-    def _settle(self, hedge: _Hedge, outcome: Hedging, unfinished: Attempt | None) -> None:
-        """Record which send counts, and what is known of one that is ended before its response."""
+    def _record_outcome(self, hedge: _Hedge, outcome: Hedging, unfinished: Attempt | None) -> None:
+        """Record which send counts, and the slowness of one that is cancelled unfinished."""
         exchange = hedge.exchange
         exchange.last_attempt = hedge.copy if outcome is Hedging.COPY else hedge.first
         if hedge.copy is None:
             return
         exchange.hedging = outcome
-        self._metrics.hedges.labels(_RESULTS[outcome]).inc()
+        self._metrics.hedges.labels(_METRIC_RESULTS[outcome]).inc()
         if unfinished is not None:
             self._dispatch_state.record_unfinished(unfinished)
 
@@ -331,7 +336,7 @@
     def _return_tokens(
         self, hedge: _Hedge, admission: Admission | None, result: SendResult | None
     ) -> None:
-        """Return what a copy has taken, if it was not sent or did not run."""
+        """Return the tokens of a copy that was not sent, or that did not run."""
         failure = result.kind if isinstance(result, SendFailure) else None
         is_unplaced = hedge.copy is None
         if is_unplaced or (failure is not None and failure.certainly_not_sent):
@@ -343,16 +348,8 @@
             admission.bucket.refund()
 
 
-_RESULTS = {Hedging.FIRST: "lost", Hedging.COPY: "won", Hedging.NEITHER: "failed"}
-
-
-def _allow() -> bool:
-    """Allow the send; the permission of a request that is no copy."""
-    return True
-
-
-async def _end(tasks: list[asyncio.Task[Any]]) -> None:
-    """Cancel what still runs, and wait until its connection is closed."""
+async def _cancel(tasks: list[asyncio.Task[Any]]) -> None:
+    """Cancel the unfinished tasks, and wait until their connections are closed."""
     for task in tasks:
         task.cancel()
     running = [task for task in tasks if not task.done()]
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -267,7 +267,7 @@
         self._settings = settings
         self._dispatch_state.apply_settings(_build_locality(settings), settings.bounds)
         self._request_handler.regions = frozenset(settings.regions.values())
-        _log_malformed(settings)
+        _log_malformed_settings(settings)
         _log.info("settings_reloaded", regions=sorted(set(settings.regions.values())))
 
     async def run(self) -> None:
@@ -286,7 +286,7 @@
         store_watcher.read_from_peers = self._peer_network.read_from_seeds
         self._peer_network.is_watching = lambda: store_watcher.watching
         await self._open()
-        _log_malformed(self._settings)
+        _log_malformed_settings(self._settings)
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
         tasks = [
             asyncio.create_task(store_watcher.run_watch()),
@@ -421,7 +421,7 @@
             _log.warning("connections_not_closed", timeout_s=_CLOSE_TIMEOUT_S)
 
 
-def _log_malformed(settings: InstanceSettings) -> None:
+def _log_malformed_settings(settings: InstanceSettings) -> None:
     for fault in settings.malformed:
         _log.warning("settings_value_unknown", **asdict(fault))
 
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -8,6 +8,7 @@
 __all__ = ["Metrics"]
 
 _DURATION_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0)
+# Ratios of the current duration of work at a target to the usual one.
 _SLOWNESS_BUCKETS = (0.8, 1.0, 1.25, 1.5, 2.0, 2.5, 3.0, 4.0, 8.0)
 
 
--- a/src/waxwingshelf/serving/region_balancer.py
+++ b/src/waxwingshelf/serving/region_balancer.py
@@ -1,4 +1,4 @@
-"""Adapt the weights of the regions to their demand, and tell of each change."""
+"""Adapt the weights of the regions to their demand, and report each change."""
 
 from __future__ import annotations
 
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -18,13 +18,13 @@
 
 # Heads, interim responses and late responses to other requests, until the awaited head is read.
 _MAX_UNMATCHED_BYTES = 1024 * 1024
-# Shorter than the time after which targets that do not tell close idle connections.
+# For targets that do not state their idle timeout; shorter than the one that they have.
 _DEFAULT_IDLE_TIMEOUT_MS = 4_000
 # A request must reach a target before it closes the idle connection.
 _IDLE_MARGIN_MS = 500
 # For a body without a known length, bytes are held in parts of this size.
 _PART_BYTES = 65_536
-# The bytes of that limit would hold some 40,000 interim responses, which take a second to handle.
+# `_MAX_UNMATCHED_BYTES` hold some 40,000 interim responses, which take a second to handle.
 _MAX_UNMATCHED_HEADS = 64
 
 
@@ -42,7 +42,7 @@
     _idle_timeout_ms = _DEFAULT_IDLE_TIMEOUT_MS
 
     def begin_idle(self, now_ms: int, idle_timeout_ms: int | None) -> None:
-        """Record that the connection is idle, and for how long its peer keeps it if it tells."""
+        """Record that the connection is idle, and its peer's idle timeout if it is known."""
         self._idle_since_ms = now_ms
         if idle_timeout_ms is not None:
             self._idle_timeout_ms = idle_timeout_ms - _IDLE_MARGIN_MS
@@ -79,7 +79,7 @@
         """Parse received bytes, or reset the connection if there are too many."""
         self._unmatched_bytes += len(data)
         if not self._in_body and self._unmatched_bytes > _MAX_UNMATCHED_BYTES:
-            self._give_up(f"{self._unmatched_bytes} bytes")
+            self._reset_connection(f"{self._unmatched_bytes} bytes")
             return
         super().data_received(data)
 
@@ -87,12 +87,12 @@
         """Queue the head of a response, or reset the connection if there are too many."""
         self._unmatched_heads += 1
         if not self._in_body and self._unmatched_heads > _MAX_UNMATCHED_HEADS:
-            self._give_up(f"{self._unmatched_heads} responses")
+            self._reset_connection(f"{self._unmatched_heads} responses")
             return
         super().feed_data(data, size)
 
-    def _give_up(self, received: str) -> None:
-        # First the abort, which clears an error that no reader waits for.
+    def _reset_connection(self, received: str) -> None:
+        # The abort comes first, since it clears an error that no reader waits for.
         self.abort()
         self.set_exception(ResponseLimitError(f"{received} without the awaited response"))
 
@@ -154,11 +154,11 @@
         self._room = room or ResponseRoom(compute_budget_bytes(0))
         # In the order in which they began to wait.
         self._waiting: dict[_BufferedBody, _WaitingRead] = {}
-        # The only body without a known length that may use the room kept for such a one.
+        # The one body of unknown length that may use the room reserved for completing such bodies.
         self._completing: _BufferedBody | None = None
 
     def open_hold(self) -> ResponseHold:
-        """Return what holds the bytes of one request's responses until it is released."""
+        """Return the hold for the bytes of one request's responses."""
         return ResponseHold(self)
 
     async def read(
@@ -186,7 +186,7 @@
         finally:
             if self._completing is body:
                 self._completing = None
-            # An error in progress may keep the body.
+            # The traceback of an exception may keep a reference to the body.
             body.chunks = []
             self.release(body.held_bytes)
 
--- a/src/waxwingshelf/serving/response_writer.py
+++ b/src/waxwingshelf/serving/response_writer.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ResponseWriter"]
 
-# A part is copied into the transport's buffer, and the next one follows when it has been sent.
+# Bounds what the transport's buffer copies; the next part is written when this one has been sent.
 _PART_BYTES = 65_536
 _log = structlog.get_logger("response_writer")
 
@@ -66,7 +66,7 @@
         write = _PendingWrite(request, request_id, len(body), len(body), progress)
         self._pending.add(write)
         try:
-            # The server finds out as well that a caller has left, and closes the connection.
+            # The server also notices that a caller has left, and closes the connection.
             with contextlib.suppress(ConnectionError):
                 await _write_until_sent(write, response, body)
         finally:
@@ -80,9 +80,9 @@
             write.progress.record(write.count_unsent_bytes(), now_ms)
             if write.progress.is_stalled(idle_timeout_ms, now_ms):
                 self._pending.discard(write)
-                self._end(write, now_ms)
+                self._abort_connection(write, now_ms)
 
-    def _end(self, write: _PendingWrite, now_ms: int) -> None:
+    def _abort_connection(self, write: _PendingWrite, now_ms: int) -> None:
         self._metrics.slow_readers.inc()
         _log.info(
             "slow_reader",
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -10,7 +10,16 @@
 from waxwingshelf.serving.bodies import StreamedBody
 from waxwingshelf.serving.response_buffer import ResponseHold
 
-__all__ = ["FailureKind", "OutgoingRequest", "SendFailure", "SendResult", "UpstreamResponse"]
+__all__ = [
+    "FailureKind",
+    "OutgoingRequest",
+    "SendFailure",
+    "SendResult",
+    "UpstreamResponse",
+    "allow_send",
+]
+
+_MIN_FAILURE_STATUS = 500
 
 
 class FailureKind(StrEnum):
@@ -67,10 +76,20 @@
     headers: CIMultiDictProxy[str]
     body: bytes
 
+    @property
+    def is_failure(self) -> bool:
+        """Return whether the status is that of a failure at the target (500 or more)."""
+        return self.status >= _MIN_FAILURE_STATUS
+
 
 SendResult = UpstreamResponse | SendFailure
 
 
+def allow_send() -> bool:
+    """Allow the send; the default permission."""
+    return True
+
+
 @dataclass(slots=True)
 class OutgoingRequest:
     """A request to send to a target; a streamed body can be sent only once.
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -45,6 +45,7 @@
     OutgoingRequest,
     SendFailure,
     UpstreamResponse,
+    allow_send,
 )
 from waxwingshelf.serving.target_connections import (
     LinksLostError,
@@ -82,11 +83,6 @@
     """A close-delimited body was truncated by a connection reset."""
 
 
-def _allow() -> bool:
-    """Allow the send; the default permission."""
-    return True
-
-
 def _ignore_report(report: TargetReport) -> None:
     """Ignore what a target says of itself; the default handler of reports."""
 
@@ -115,7 +111,7 @@
         request: OutgoingRequest,
         timeout_ms: int,
         handle_report: ReportHandler = _ignore_report,
-        may_still_send: Callable[[], bool] = _allow,
+        may_still_send: Callable[[], bool] = allow_send,
     ) -> UpstreamResponse | SendFailure:
         """Send a request and read the complete response; cancellation closes the connection.
 
@@ -132,7 +128,7 @@
         request: OutgoingRequest,
         timeout_ms: int,
         handle_report: ReportHandler = _ignore_report,
-        may_still_send: Callable[[], bool] = _allow,
+        may_still_send: Callable[[], bool] = allow_send,
     ) -> UpstreamResponse | SendFailure:
         """Send a request like `send`, and return any complete response as it came."""
         if self._session is None:
@@ -156,7 +152,7 @@
             )
         finally:
             del self._sends[progress]
-            progress.may_still_send = _allow
+            progress.may_still_send = allow_send
         if not progress.abandoned:
             classified = classify_response(target, request, result)
             for handle_result in self.result_handlers:
@@ -170,7 +166,7 @@
         request: OutgoingRequest,
         timeout_ms: int,
         handle_report: ReportHandler = _ignore_report,
-        may_still_send: Callable[[], bool] = _allow,
+        may_still_send: Callable[[], bool] = allow_send,
     ) -> UpstreamResponse | SendFailure:
         """Let a peer send a request to a target, and return any complete response as it came.
 
