Leave headroom only to urgent requests that take less time

Change: a request leaves headroom only to routes whose requests take no longer than itself. Headroom is there so that long work does not fill all slots before short urgent work; a short request frees its slot soon.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -211,6 +211,7 @@
             organisation=exchange.organisation,
             weight=exchange.weight,
             choice=(exchange.object_key, exchange.priority) if has_choice else None,
+            work_ms=warm_ms,
         )
 
     def _record_queue_position(self, waiter: Waiter[_QueuedRequest]) -> None:
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -48,6 +48,14 @@
 _NO_GROUPS: frozenset[Group] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class _LastWait:
+    """When requests of one kind were last seen waiting, and the typical time of the first one."""
+
+    at_ms: int
+    work_ms: int
+
+
 @dataclass(slots=True)
 class Waiter(Generic[_T]):
     """A waiting request; times are clock readings.
@@ -58,7 +66,7 @@
     targets; an empty group stands for all regions. Of requests with the same `choice`, unless it is
     None, an earlier one finds a target if a later one does. For an expired request,
     `expected_wait_ms` is the time after which its caller may come back, and `position` the number
-    of requests before it.
+    of requests before it. `work_ms` is the typical time at a target where its object is warm.
     """
 
     item: _T
@@ -73,6 +81,7 @@
     weight: float = 1.0
     choice: Hashable = None
     position: int = 0
+    work_ms: int = 0
 
     @property
     def kind(self) -> WaiterKind:
@@ -153,7 +162,8 @@
         # The requests to try in turn, with some that have left the queue.
         self._turns: deque[int] = deque()
         # When a request of this priority, route's priority and group waited last.
-        self._last_waits_ms: dict[tuple[int, int, Group], int] = {}
+        # By priority, route priority and group.
+        self._last_waits: dict[tuple[int, int, Group], _LastWait] = {}
         self._estimates = WaitEstimates()
         self._late_count = 0
         self._judged_at_ms = -_MS_PER_S
@@ -271,12 +281,15 @@
         """Return whether a request must leave slots to a more urgent route of the service.
 
         That is the case if the route's requests have lately waited for the same targets, unless
-        this request goes first because of its organisation.
+        this request goes first because of its organisation. A request that takes less time than
+        these leaves no headroom, since its slot is free again before they would gain from it.
         """
-        for (priority, route_priority, group), waited_ms in self._last_waits_ms.items():
+        for (priority, route_priority, group), last in self._last_waits.items():
             if route_priority >= waiter.route_priority or priority > waiter.priority:
                 continue
-            if now_ms - waited_ms < _HEADROOM_MS and _compete(group, waiter.group):
+            if waiter.work_ms < last.work_ms:
+                continue
+            if now_ms - last.at_ms < _HEADROOM_MS and _compete(group, waiter.group):
                 return True
         return False
 
@@ -369,12 +382,15 @@
         """Record which priorities and groups have requests waiting; see `needs_headroom`."""
         for (_, priority, route_priority), buckets in self._tiers.items():
             for bucket in buckets.values():
-                self._last_waits_ms[(priority, route_priority, bucket.group)] = now_ms
-        if len(self._last_waits_ms) > _MIN_COMPACTION_SIZE:
-            self._last_waits_ms = {
-                key: waited_ms
-                for key, waited_ms in self._last_waits_ms.items()
-                if now_ms - waited_ms < _HEADROOM_MS
+                first = next(iter(bucket.waiters.values()), None)
+                if first is not None:
+                    last = _LastWait(now_ms, first.work_ms)
+                    self._last_waits[(priority, route_priority, bucket.group)] = last
+        if len(self._last_waits) > _MIN_COMPACTION_SIZE:
+            self._last_waits = {
+                key: last
+                for key, last in self._last_waits.items()
+                if now_ms - last.at_ms < _HEADROOM_MS
             }
 
     def _move_late(self, now_ms: int) -> None:
--- a/tests/steering/test_fair_order.py
+++ b/tests/steering/test_fair_order.py
@@ -320,4 +320,4 @@
     assert len(queue) < 50
     assert len(queue._estimates) <= 1_024
     assert sum(len(buckets) for buckets in queue._tiers.values()) == len(queue)
-    assert max(len(queue._turns), len(queue._late_times), len(queue._last_waits_ms)) <= 128
+    assert max(len(queue._turns), len(queue._late_times), len(queue._last_waits)) <= 128
--- a/tests/steering/test_waiting.py
+++ b/tests/steering/test_waiting.py
@@ -380,3 +380,18 @@
     queue.place_waiting(0, lambda waiter: False)
     queue.remove(waiting)
     assert queue.needs_headroom(new, now_ms) == needs_headroom
+
+
+@pytest.mark.parametrize(
+    ("work_ms", "needs_headroom"), [(89, False), (135, False), (136, True), (1_200, True)]
+)
+def test_only_work_that_takes_as_long_leaves_headroom_to_urgent_routes(
+    work_ms, needs_headroom
+) -> None:
+    """Short reads were refused to keep slots free for urgent requests that took longer."""
+    queue: WaitQueue[str] = WaitQueue()
+    urgent = Waiter("urgent", 1, 500, 2_000, route_priority=0, work_ms=136)
+    queue.add(urgent)
+    queue.place_waiting(0, lambda waiter: False)
+    read = Waiter("read", 1, 500, 2_000, route_priority=1, work_ms=work_ms)
+    assert queue.needs_headroom(read, 0) is needs_headroom
