--- a/review/harness.py
+++ b/review/harness.py
@@ -432,10 +432,8 @@
         except Exception as error:
             verdict = f"could not run: {error!r}"
         deployment.write_record(case / "record.txt", verdict)
-        if code == 2 or os.environ.get("KEEP_LOGS"):
+        if keep := os.environ.get("KEEP_LOGS"):
             for log in Path(folder).glob("*.log"):
-                (Path(os.environ.get("KEEP_LOGS") or "/tmp") / log.name).write_bytes(
-                    log.read_bytes()
-                )
+                (Path(keep) / log.name).write_bytes(log.read_bytes())
     print(verdict)
     sys.exit(code)
