Show a rate that every instance hands out whole after a restart

Cause: an instance that starts while the store is away, and whose peers' registrations run out meanwhile, knows no other instance when it gets the configuration. All instances do so at once.

--- a/review/harness.py
+++ b/review/harness.py
@@ -23,7 +23,7 @@
 
 from aiohttp import web
 
-from standins.platform_store import PlatformStoreStandIn
+from standins.platform_store import PlatformStoreStandIn, StoreFault
 from tools.processes import find_ports
 
 __all__ = [
@@ -42,6 +42,8 @@
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parent.parent
 MAX_RUN_S = 115.0
+# The store begins to refuse calls this long before the instances start again.
+STORE_LEAD_S = 0.1
 ZONES = {"cluj-a": "transilvania", "ploiesti-a": "muntenia", "iasi-a": "moldova"}
 
 
@@ -246,9 +248,16 @@
 
         self.closers.append(close)
 
-    def put_config(self, rules: list[dict[str, Any]], services: list[str], number: int = 7) -> None:
+    def put_config(
+        self,
+        rules: list[dict[str, Any]],
+        services: list[str],
+        number: int = 7,
+        tenant_values: dict[str, Any] | None = None,
+    ) -> None:
         """Write a configuration with one host, one tenant and these rules."""
         tenant = {"name": "foundry", "api_keys": ["key-1"], "rate_per_s": 0, "burst": 0}
+        tenant.update(tenant_values or {})
         clusters = [{"name": name, "health_path": "/health"} for name in services]
         config = {
             "version": f"r{number}",
@@ -301,6 +310,26 @@
         self.record("signal", instance.name, signal=number.name)
         instance.child.send_signal(number)
 
+    async def restart_all_without_store(self, down_s: float, outage_s: float) -> None:
+        """Let all instances lose power for `down_s`, and the store be away when they come back.
+
+        The store refuses all calls for `outage_s`, and its leases run out meanwhile.
+        """
+        for instance in self.instances:
+            self.signal(instance, signal.SIGKILL)
+        for instance in self.instances:
+            assert instance.child is not None
+            instance.child.wait()
+        await asyncio.sleep(down_s - STORE_LEAD_S)
+        self.record("store refuses")
+        self.store.fault = StoreFault.REFUSE
+        await asyncio.sleep(STORE_LEAD_S)
+        for instance in self.instances:
+            self.launch(instance)
+        await asyncio.sleep(outage_s - STORE_LEAD_S)
+        self.store.fault = StoreFault.NONE
+        self.record("store is back", leases=len(self.store.lease_deadlines))
+
     def _build_settings(
         self, name: str, zone: str, host: str, hosts: list[str], ports: list[int]
     ) -> str:
