Answer every request that a planned stop cannot finish

Cause: the shutdown ended 0.5 s before the grace period whatever was in progress. Only requests that a target had got an end from that, as the closed session broke them off. Whatever waited elsewhere was answered by nobody: in the queue of a service, for a token of a rate, for the trial of a quarantined request, for the rest of its body, for its turn after a rejection; and the same for requests that peers had handed over.

Ruled out: the end of the caller's time (it had 2 s more), the listener (they were read: in_flight counts them), targets (no "run" or "shed" line in the record after their arrival).

Change: what no target would usually answer before the end is refused at once instead of sent or kept waiting (the queue's latest time to send is bounded by the end, and a target must be expected to answer before it). At the end, handlers that have no result are interrupted wherever they wait (serving.request_interrupts): those that no target can have got are refused (503 stopping), the others get 502; a peer is told "unreachable" or "broken" accordingly. The answers get up to 0.2 s before the listeners close. The shutdown is a module of its own (serving.shutdown).

Why this holds for the class: the interruption is a cancellation of the handler's own task, so it reaches every place where a handler can wait, and whether a target may have run the request is taken from the send itself (OutgoingRequest.begun).

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -99,6 +99,8 @@
         # The versions of what decides whether the waiting requests of a service can be placed, when
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
+        # When requests in progress are interrupted, once the process is being stopped.
+        self._ends_at_ms: int | None = None
 
     async def run(self) -> None:
         """Serve the queues periodically while requests wait, until cancelled.
@@ -115,6 +117,12 @@
             if not any(self._queues.values()):
                 self._has_waiting.clear()
 
+    def begin_shutdown(self, ends_at_ms: int) -> None:
+        """Refuse, from now on, the requests that no target would answer before `ends_at_ms`."""
+        self._ends_at_ms = ends_at_ms
+        for queue in self._queues.values():
+            queue.end_at(ends_at_ms)
+
     async def dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         """Send a request until it is answered, cannot be retried or reaches its deadline."""
         warm_ms = self._dispatch_state.get_durations(exchange.route).warm_ms
@@ -149,6 +157,8 @@
         if unplaceable is not None:
             return _refuse_placement(exchange, unplaceable)
         waiter = self._build_waiter(exchange)
+        if self._is_bound_by_shutdown(waiter) and now_ms > waiter.latest_send_ms:
+            return _refuse_placement(exchange, _build_stopping())
         if queue.is_full():
             retry_after_ms = choose_retry_after_ms(queue.announce_return(waiter, now_ms))
             self._record_queue_position(waiter)
@@ -201,11 +211,14 @@
     def _build_waiter(self, exchange: Exchange) -> Waiter[_QueuedRequest]:
         warm_ms = int(self._dispatch_state.get_durations(exchange.route).warm_ms)
         has_choice = exchange.route.sticky and not exchange.excluded_targets
+        deadline_ms = exchange.deadline_ms
+        if self._ends_at_ms is not None:
+            deadline_ms = min(deadline_ms, self._ends_at_ms)
         return Waiter(
             (exchange, asyncio.get_running_loop().create_future()),
             exchange.priority,
             exchange.latency_objective_at_ms - warm_ms,
-            exchange.deadline_ms - warm_ms,
+            deadline_ms - warm_ms,
             exchange.allowed_regions,
             route_priority=exchange.route.priority,
             organisation=exchange.organisation,
@@ -214,6 +227,10 @@
             work_ms=warm_ms,
         )
 
+    def _is_bound_by_shutdown(self, waiter: Waiter[_QueuedRequest]) -> bool:
+        """Return whether the end of the process leaves less time than the request's deadline."""
+        return self._ends_at_ms is not None and self._ends_at_ms < waiter.item[0].deadline_ms
+
     def _record_queue_position(self, waiter: Waiter[_QueuedRequest]) -> None:
         """Record the position in the queue and the share of a request that is refused."""
         exchange = waiter.item[0]
@@ -306,11 +323,20 @@
         self._refuse_unplaceable(service, queue)
         now_ms = self._clock.now_ms()
         for waiter in queue.expire(now_ms):
-            detail = f"{len(queue)} requests are waiting, {self._describe_targets(service, now_ms)}"
-            retry_after_ms = choose_retry_after_ms(waiter.expected_wait_ms)
-            expired = _NoPlacement(RefusalReason.NO_ROOM, detail, retry_after_ms)
             self._record_queue_position(waiter)
-            _resolve(waiter.item[1], expired)
+            _resolve(waiter.item[1], self._build_expired(waiter, queue, now_ms))
+
+    def _build_expired(
+        self, waiter: Waiter[_QueuedRequest], queue: WaitQueue[_QueuedRequest], now_ms: int
+    ) -> _NoPlacement:
+        if self._is_bound_by_shutdown(waiter):
+            return _build_stopping()
+        targets = self._describe_targets(waiter.item[0].service, now_ms)
+        return _NoPlacement(
+            RefusalReason.NO_ROOM,
+            f"{len(queue)} requests are waiting, {targets}",
+            choose_retry_after_ms(waiter.expected_wait_ms),
+        )
 
     def _describe_targets(self, service: str, now_ms: int) -> str:
         targets = self._routing_state.targets
@@ -367,6 +393,13 @@
             leaves_headroom,
         )
         placements = self._dispatch_state.placer.choose(request, now_ms)
+        if self._ends_at_ms is not None:
+            left_ms = self._ends_at_ms - now_ms
+            placements = [
+                placement
+                for placement in placements
+                if placement.estimate_duration_ms(request.durations, now_ms) <= left_ms
+            ]
         return self._dispatch_state.try_start_attempt(
             placements, exchange.organisation, download_bytes, now_ms
         )
@@ -393,6 +426,7 @@
         target = attempt.state.target
         outgoing.headers[EXPECTED_TARGET_HEADER] = target.id
         outgoing.deadline_ms = exchange.deadline_ms
+        outgoing.begun = False
         exchange.attempts.record_attempt()
         exchange.last_attempt = attempt
         try:
@@ -406,8 +440,9 @@
                 may_still_send=lambda: may_send() and self._may_still_send(exchange, attempt),
             )
         except BaseException:
-            # The request may have been sent when its caller left.
+            # The request may have been sent when its caller left or the process ends.
             exchange.is_trial = False
+            exchange.attempts.maybe_run |= outgoing.begun
             raise
         finally:
             self._dispatch_state.finish_attempt(attempt)
@@ -457,5 +492,12 @@
         future.set_result(result)
 
 
+def _build_stopping() -> _NoPlacement:
+    """Return that the process ends too soon; other instances may serve the request at once."""
+    return _NoPlacement(
+        RefusalReason.STOPPING, "the instance stops before a response", choose_retry_after_ms()
+    )
+
+
 def _refuse_placement(exchange: Exchange, result: _NoPlacement) -> Refusal:
     return refuse(exchange, result.reason, Step.PLACE, result.detail, result.retry_after_ms)
--- a/src/waxwingshelf/serving/hedged_sender.py
+++ b/src/waxwingshelf/serving/hedged_sender.py
@@ -185,8 +185,7 @@
         now_ms = self._clock.now_ms()
         elapsed_ms = now_ms - first.sent_ms
         durations = self._get_durations(exchange)
-        slowness = first.state.compute_slowness(now_ms, durations.warm_ms)
-        expected_ms = first.placement.typical_ms * slowness
+        expected_ms = first.placement.estimate_duration_ms(durations, now_ms)
         remaining_ms = estimate_remaining_ms(elapsed_ms, expected_ms, quantile_ms)
         if remaining_ms < durations.warm_ms * _MIN_WORK_FRACTION:
             return []
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -45,6 +45,7 @@
 from waxwingshelf.serving.response_buffer import ResponseBuffer
 from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.routing_state import RoutingState
+from waxwingshelf.serving.shutdown import Shutdown
 from waxwingshelf.serving.store_watcher import StoreWatcher
 from waxwingshelf.serving.target_connections import TargetContact
 from waxwingshelf.serving.target_sender import TargetSender
@@ -61,7 +62,8 @@
 _UPDATE_INTERVAL_S = 0.25
 _SEED_PULL_INTERVAL_S = 0.5
 _SETTINGS_RELOAD_INTERVAL_S = 2.0
-_DRAIN_POLL_INTERVAL_S = 0.05
+# Requests on connections that were accepted at the last moment get a refusal meanwhile.
+_LAST_REFUSALS_S = 0.05
 _STORE_KEEPALIVE_S = 20.0
 # Idle timeout of caller connections until a configuration sets another.
 _DEFAULT_KEEPALIVE_S = 15.0
@@ -69,10 +71,6 @@
 # up to four fifths of that timeout.
 _KEEPALIVE_FRACTION = 0.9
 _MAX_HEADER_BYTES = 32_768
-# New requests are still accepted for this long after the shutdown has begun, since callers may use
-# a directory response for up to three times its time to live.
-_REFUSE_NEW_AFTER_S = 2.9
-_SHUTDOWN_MARGIN_S = 0.5
 # A connection with unsent bytes closes only when they are sent or its link is given up.
 _CLOSE_TIMEOUT_S = 0.2
 _LISTEN_BACKLOG = 1_024
@@ -309,7 +307,7 @@
             for task in done:
                 if task is not stop_waiter:
                     task.result()
-            await self._drain(store_watcher)
+            await self._shut_down(store_watcher)
         finally:
             for task in [*tasks, stop_waiter]:
                 task.cancel()
@@ -380,33 +378,21 @@
             await asyncio.sleep(_SETTINGS_RELOAD_INTERVAL_S)
             self.reload()
 
-    async def _drain(self, store_watcher: StoreWatcher) -> None:
-        """Leave the directory, keep serving for a while, then refuse new requests and stop.
-
-        New requests are refused because they might not finish within the grace period.
-        """
-        started_ms = self._clock.now_ms()
-        _log.info("stopping", in_flight=self._request_handler.in_flight)
-        self._peer_network.ready = False
-        if self._hedged_sender is not None:
-            self._hedged_sender.stopping = True
-        self._request_handler.closing_connections = True
-        self._peer_network.send_heartbeats()
+    async def _shut_down(self, store_watcher: StoreWatcher) -> None:
+        """Run the graceful shutdown until nothing is in progress, then stop listening."""
         deregistration = asyncio.create_task(store_watcher.deregister())
-        limit_ms = self._settings.bounds.grace_period_ms - int(_SHUTDOWN_MARGIN_S * _MS_PER_S)
-        while True:
-            elapsed_ms = self._clock.now_ms() - started_ms
-            if elapsed_ms >= limit_ms:
-                break
-            if elapsed_ms >= _REFUSE_NEW_AFTER_S * _MS_PER_S:
-                self._request_handler.refusing_requests = True
-                self._relay.refusing_requests = True
-                if self._request_handler.in_flight + self._relay.in_flight == 0:
-                    break
-            await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        shutdown = Shutdown(
+            self._peer_network,
+            self._request_handler,
+            self._dispatcher,
+            self._relay,
+            self._hedged_sender,
+            self._clock,
+        )
+        await shutdown.run(self._settings.bounds.grace_period_ms)
         for server in self._servers:
             server.close()
-        await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        await asyncio.sleep(_LAST_REFUSALS_S)
         deregistration.cancel()
 
     async def _close(self, session: aiohttp.ClientSession) -> None:
--- a/src/waxwingshelf/serving/relay.py
+++ b/src/waxwingshelf/serving/relay.py
@@ -20,6 +20,7 @@
     split_relay_path,
 )
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
+from waxwingshelf.serving.request_interrupts import RequestInterruptedError, RequestInterrupts
 from waxwingshelf.serving.response_buffer import ResponseBuffer, ResponseHold
 from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.send_results import FailureKind, OutgoingRequest, SendFailure
@@ -55,6 +56,7 @@
         self._targets = targets
         self._clock = clock
         self._metrics = metrics
+        self.interrupts = RequestInterrupts()
         self.refusing_requests = False
         self.in_flight = 0
 
@@ -69,7 +71,15 @@
             self.in_flight -= 1
 
     async def _respond(self, request: web.BaseRequest, hold: ResponseHold) -> web.StreamResponse:
-        result = await self._send(request, hold)
+        target_id, raw_path = split_relay_path(request.raw_path)
+        outgoing = _build_request(request, raw_path, hold)
+        result: UpstreamResponse | SendFailure
+        try:
+            with self.interrupts.allow():
+                result = await self._send(request, target_id, outgoing)
+        except RequestInterruptedError:
+            kind = FailureKind.BROKEN if outgoing.begun else FailureKind.UNREACHABLE
+            result = SendFailure(kind, target_id, "stopping")
         if isinstance(result, SendFailure):
             self._metrics.relays.labels("served", result.kind.value).inc()
             return _build_failure_response(request, result)
@@ -82,21 +92,25 @@
         )
 
     async def _send(
-        self, request: web.BaseRequest, hold: ResponseHold
+        self, request: web.BaseRequest, target_id: str, outgoing: OutgoingRequest
     ) -> UpstreamResponse | SendFailure:
-        target_id, raw_path = split_relay_path(request.raw_path)
         if self.refusing_requests or not self._prober.may_send():
             detail = "stopping" if self.refusing_requests else "no target can be reached"
             return SendFailure(FailureKind.UNREACHABLE, target_id, detail)
         state = self._targets.find_usable(target_id)
         if state is None:
             return SendFailure(FailureKind.WITHDRAWN, target_id, "the target is not in use")
-        outgoing, timeout_ms = await self._build_request(request, raw_path)
-        outgoing.hold = hold
+        remaining_ms = parse_deadline(request.headers)
+        if remaining_ms is not None:
+            outgoing.deadline_ms = self._clock.now_ms() + remaining_ms
+        # The peer has bounded the body.
+        outgoing.body = await read_body(request, max_bytes=sys.maxsize)
+        outgoing.fingerprint = compute_fingerprint(outgoing)
+        timeout_ms = _DEFAULT_TIMEOUT_MS if remaining_ms is None else remaining_ms
         result = await self._upstream.fetch(
             state.target,
             outgoing,
-            timeout_ms,
+            timeout_ms + _RESPONSE_TRANSIT_MS,
             handle_report=lambda report: self._dispatch_state.apply_report(state, report),
             may_still_send=lambda: self._may_send_to(state),
         )
@@ -105,30 +119,23 @@
                 return SendFailure(FailureKind.UNREACHABLE, target_id, result.detail)
         return result
 
-    async def _build_request(
-        self, request: web.BaseRequest, raw_path: str
-    ) -> tuple[OutgoingRequest, int]:
-        """Return the request for the target, and how long to wait for its response in ms."""
-        remaining_ms = parse_deadline(request.headers)
-        deadline_ms = None if remaining_ms is None else self._clock.now_ms() + remaining_ms
-        timeout_ms = _DEFAULT_TIMEOUT_MS if remaining_ms is None else remaining_ms
-        outgoing = OutgoingRequest(
-            request.method,
-            raw_path,
-            copy_end_to_end_headers(request.headers),
-            # The peer has bounded the body.
-            await read_body(request, max_bytes=sys.maxsize),
-            request.headers.get(REQUEST_ID_HEADER, ""),
-            deadline_ms,
-        )
-        outgoing.fingerprint = compute_fingerprint(outgoing)
-        return outgoing, timeout_ms + _RESPONSE_TRANSIT_MS
-
     def _may_send_to(self, state: TargetState) -> bool:
         is_usable = self._targets.find_usable(state.target.id) is state
         return is_usable and not state.refuses_requests(self._clock.now_ms())
 
 
+def _build_request(request: web.BaseRequest, raw_path: str, hold: ResponseHold) -> OutgoingRequest:
+    """Return the request for the target, without its body."""
+    return OutgoingRequest(
+        request.method,
+        raw_path,
+        copy_end_to_end_headers(request.headers),
+        None,
+        request.headers.get(REQUEST_ID_HEADER, ""),
+        hold=hold,
+    )
+
+
 def _build_failure_response(request: web.BaseRequest, failure: SendFailure) -> web.Response:
     headers: CIMultiDict[str] = encode_relay_failure(failure)
     request_id = request.headers.get(REQUEST_ID_HEADER, "")
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
 import structlog
 from aiohttp import web
@@ -19,7 +19,12 @@
 from waxwingshelf.serving.bodies import BodyTooLargeError, read_body
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher
-from waxwingshelf.serving.exchange import Exchange, choose_retry_after_ms
+from waxwingshelf.serving.exchange import (
+    Exchange,
+    choose_retry_after_ms,
+    prefer_failed_response,
+    refuse,
+)
 from waxwingshelf.serving.headers import (
     copy_end_to_end_headers,
     copy_request_headers,
@@ -28,6 +33,7 @@
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.rate_limiter import Admission, RateLimiter
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
+from waxwingshelf.serving.request_interrupts import RequestInterruptedError, RequestInterrupts
 from waxwingshelf.serving.response_buffer import ResponseBuffer, ResponseHold
 from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.routing_state import RoutingState
@@ -56,11 +62,22 @@
 _log = structlog.get_logger("requests")
 
 
+@dataclass(slots=True)
+class _ReceivedRequest:
+    """A caller's request; `exchange` is set once its route and organisation are known."""
+
+    request: web.BaseRequest
+    id: str
+    received_ms: int
+    hold: ResponseHold
+    exchange: Exchange | None = None
+
+
 class RequestHandler:
     """Handle callers' requests.
 
     During the graceful shutdown, `closing_connections` closes each connection after its response,
-    and `refusing_requests` refuses new requests.
+    `refusing_requests` refuses new requests, and `interrupts` ends those that have no result.
     """
 
     def __init__(
@@ -85,6 +102,7 @@
         self._metrics = metrics
         self.regions = regions
         self._weights = OrganisationWeights()
+        self.interrupts = RequestInterrupts()
         self.refusing_requests = False
         self.closing_connections = False
         self.in_flight = 0
@@ -98,13 +116,9 @@
         self.in_flight += 1
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
         hold = self._response_buffer.open_hold()
-        result: UpstreamResponse | Refusal
+        received = _ReceivedRequest(request, request_id, started_ms, hold)
         try:
-            try:
-                result = await self._serve(request, request_id, started_ms, hold)
-            except Exception:
-                _log.exception("request_crashed", request=request_id)
-                result = Refusal(RefusalReason.INTERNAL, Step.SEND, maybe_run=True)
+            result = await self._find_result(received)
             if isinstance(result, UpstreamResponse):
                 return await self._write_response(request, request_id, result, started_ms)
         finally:
@@ -112,26 +126,33 @@
             self.in_flight -= 1
         return self._build_refusal_response(result, request_id, started_ms)
 
-    async def _serve(
-        self, request: web.BaseRequest, request_id: str, started_ms: int, hold: ResponseHold
-    ) -> UpstreamResponse | Refusal:
+    async def _find_result(self, received: _ReceivedRequest) -> UpstreamResponse | Refusal:
+        """Serve a request; return a refusal if the process ends before it has a result."""
+        try:
+            with self.interrupts.allow():
+                return await self._serve(received)
+        except RequestInterruptedError:
+            return _refuse_interrupted(received.exchange)
+        except Exception:
+            _log.exception("request_crashed", request=received.id)
+            return Refusal(RefusalReason.INTERNAL, Step.SEND, maybe_run=True)
+
+    async def _serve(self, received: _ReceivedRequest) -> UpstreamResponse | Refusal:
+        request = received.request
+        if self.refusing_requests:
+            return _refuse_stopping()
         config = await self._wait_for_config()
         if config is None:
             return Refusal(
                 RefusalReason.NO_CONFIG, Step.ROUTE, retry_after_ms=choose_retry_after_ms()
             )
-        if self.refusing_requests:
-            return Refusal(
-                RefusalReason.STOPPING, Step.ADMIT, retry_after_ms=choose_retry_after_ms()
-            )
         route = find_route(config, request.host, request.raw_path.partition("?")[0])
         if route is None:
             return Refusal(RefusalReason.NO_ROUTE, Step.ROUTE, detail=request.host[:100])
         organisation = _authenticate(request, config, route)
         if isinstance(organisation, Refusal):
             return organisation
-        exchange = self._build_exchange(request, request_id, route, organisation, started_ms)
-        exchange.outgoing.hold = hold
+        exchange = received.exchange = self._build_exchange(received, route, organisation)
         exchange.weight = self._weights.get(config, organisation)
         self._dispatch_state.record_request(exchange.service)
         admission = await self._admit(organisation)
@@ -148,7 +169,7 @@
         await asyncio.sleep(0)
         result = await self._dispatcher.dispatch(exchange)
         if isinstance(result, UpstreamResponse):
-            _log_response(exchange, result, started_ms, self._clock.now_ms())
+            _log_response(exchange, result, received.received_ms, self._clock.now_ms())
         if admission.bucket and isinstance(result, Refusal) and not result.maybe_run:
             admission.bucket.refund()
             self._metrics.rate_tokens.labels("returned").inc()
@@ -182,12 +203,11 @@
 
     def _build_exchange(
         self,
-        request: web.BaseRequest,
-        request_id: str,
+        received: _ReceivedRequest,
         route: RouteRule,
         organisation: OrganisationRule | None,
-        started_ms: int,
     ) -> Exchange:
+        request, request_id, started_ms = received.request, received.id, received.received_ms
         headers = copy_request_headers(request.headers)
         if organisation is not None:
             headers[ORGANISATION_HEADER] = organisation.name
@@ -217,6 +237,7 @@
                 None,
                 request_id,
                 idempotent=route.idempotent,
+                hold=received.hold,
             ),
             attempts=Attempts(route.idempotent, route.attempts),
         )
@@ -268,6 +289,19 @@
         return response
 
 
+def _refuse_stopping() -> Refusal:
+    return Refusal(RefusalReason.STOPPING, Step.ADMIT, retry_after_ms=choose_retry_after_ms())
+
+
+def _refuse_interrupted(exchange: Exchange | None) -> UpstreamResponse | Refusal:
+    """Return the answer to a request that the end of the process leaves without a result."""
+    if exchange is None:
+        return _refuse_stopping()
+    step = Step.SEND if exchange.attempts.maybe_run else Step.PLACE
+    refusal = refuse(exchange, RefusalReason.STOPPING, step, "the process ends")
+    return prefer_failed_response(exchange, refusal)
+
+
 def _log_response(
     exchange: Exchange, upstream_response: UpstreamResponse, started_ms: int, now_ms: int
 ) -> None:
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -96,7 +96,8 @@
 
     The target is told how much time remains until `deadline_ms`, a clock reading, at the send.
     `fingerprint` is the same for all copies of a request; it is empty until the body is known.
-    `hold` takes over the bytes of the responses.
+    `hold` takes over the bytes of the responses. `begun` is set once writing it to a target or a
+    peer has begun in the last send.
     """
 
     method: str
@@ -108,6 +109,7 @@
     idempotent: bool = False
     fingerprint: str = ""
     hold: ResponseHold | None = None
+    begun: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -213,6 +213,7 @@
         handle_report: ReportHandler,
     ) -> UpstreamResponse | SendFailure:
         set_progress(progress)
+        request.begun = False
         try:
             async with timeout:
                 async with _request(session, request, url) as response:
@@ -239,6 +240,8 @@
             return _classify_timeout(target, progress)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return SendFailure(FailureKind.BROKEN, target.id, repr(error))
+        finally:
+            request.begun = progress.begun
         return UpstreamResponse(target.id, response.status, response.headers, body)
 
     async def _read_body(self, response: aiohttp.ClientResponse, request: OutgoingRequest) -> bytes:
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -101,6 +101,10 @@
     typical_ms: float
     cost_ms: float
 
+    def estimate_duration_ms(self, durations: RouteDurations, now_ms: int) -> float:
+        """Return the time that this target is expected to take for the request."""
+        return self.typical_ms * self.state.compute_slowness(now_ms, durations.warm_ms)
+
 
 class Placer:
     """Rank targets for requests; rankings are cached until the targets or weights change."""
--- a/src/waxwingshelf/steering/waiting.py
+++ b/src/waxwingshelf/steering/waiting.py
@@ -232,6 +232,14 @@
         self._estimates.set_late_groups(positions)
         return expired
 
+    def end_at(self, end_ms: int) -> None:
+        """Let no request be sent so late that its response would usually come after `end_ms`."""
+        for waiter in self._waiters.values():
+            latest_send_ms = end_ms - waiter.work_ms
+            if latest_send_ms < waiter.latest_send_ms:
+                waiter.latest_send_ms = latest_send_ms
+                heapq.heappush(self._late_times, (latest_send_ms, waiter.sequence))
+
     def record_placement(self, waiter: Waiter[_T], now_ms: int) -> None:
         """Record that a request got capacity at a target."""
         self._estimates.record_placement(waiter.kind, now_ms >= waiter.late_from_ms, now_ms)
@@ -399,7 +407,7 @@
         while late_times and late_times[0][0] <= now_ms:
             _, sequence = heapq.heappop(late_times)
             waiter = self._waiters.get(sequence)
-            if waiter is not None:
+            if waiter is not None and not self._tier_by_sequence[sequence][0]:
                 self._take_out(waiter)
                 self._put(waiter, (True, waiter.priority, waiter.route_priority))
 
--- a/tests/steering/test_waiting.py
+++ b/tests/steering/test_waiting.py
@@ -47,6 +47,32 @@
     assert place_all(queue, 100) == ["waiting"]
 
 
+def test_requests_that_would_be_answered_after_the_end_expire() -> None:
+    """A stop ends the process at 1,000; each of these requests takes 300 at a target."""
+    queue: WaitQueue[str] = WaitQueue()
+    for number in range(6):
+        queue.add(Waiter(str(number), 1, 100, 5_000, work_ms=300))
+    assert queue.expire(200) == []
+    queue.end_at(1_000)
+    # The queue is served at two requests a second as long as nothing is known.
+    assert [waiter.item for waiter in queue.expire(200)] == ["1", "2", "3", "4", "5"]
+    assert queue.expire(200) == []
+    assert [waiter.item for waiter in queue.expire(701)] == ["0"]
+
+
+def test_an_end_keeps_the_order_of_late_requests_and_earlier_deadlines() -> None:
+    queue: WaitQueue[str] = WaitQueue()
+    queue.add(make_waiter("first", late_from_ms=100))
+    queue.add(make_waiter("second", late_from_ms=100))
+    queue.add(make_waiter("short deadline", late_from_ms=100, latest_send_ms=400))
+    queue.expire(100)
+    queue.end_at(600)
+    queue.expire(100)
+    assert [waiter.item for waiter in queue.list_in_send_order(300)] == ["first"]
+    queue.end_at(3_000)
+    assert queue.list_waiting()[0].latest_send_ms == 600
+
+
 def test_blocked_request_stays_and_others_are_placed() -> None:
     queue: WaitQueue[str] = WaitQueue()
     queue.add(make_waiter("blocked"))
