Log with how many tokens and instances a rate begins

Nothing told how many tokens a bucket had been given, or by how many instances a limit was divided, so that the hypotheses could not be told apart: shares that are too large, a burst that is granted anew, slack that is not divided, tokens spent before the restart and forgotten.

Change: event `rate_bucket` with share, tokens, slack and instances at an organisation's first request; `instances` in `rate_share` lines.

--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -82,6 +82,14 @@
             share = self._compute_share(rule.name, rule.rate_per_s, now_ms)
             slack = _SLACK_FRACTION * self._rate_slack / self._count_share_holders()
             bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms, slack)
+            _log.info(
+                "rate_bucket",
+                organisation=rule.name,
+                share=round(share, 4),
+                tokens=round(bucket.tokens, 1),
+                slack=round(slack, 1),
+                instances=self._fleet.count_instances(),
+            )
         else:
             bucket.set_rate(*limits, now_ms)
         return bucket
@@ -134,6 +142,7 @@
             peers_per_s=round(peer_demand.per_s, 1),
             oldest_ms=peer_demand.oldest_ms,
             silent_peers=peer_demand.silent_peers,
+            instances=self._fleet.count_instances(),
         )
 
     def _count_share_holders(self) -> int:
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -70,6 +70,11 @@
         self._tokens = burst * share + slack
         self._at_ms = now_ms
 
+    @property
+    def tokens(self) -> float:
+        """Return the tokens at the last change."""
+        return self._tokens
+
     def set_rate(self, rate_per_s: float, burst: float, now_ms: int) -> None:
         """Set the organisation's rate and burst; tokens beyond the new capacity are dropped."""
         self._refill(now_ms)
