Divide limits after a restart by all instances that may be running

What callers saw: an organisation got up to twice its rate in 5 s after all instances had restarted while the store was away (rule QUOTA), so that the others waited behind it.

Cause: an instance knew the others by their registrations alone, and these end with their leases. Each one that started took the whole rate, burst and slack for itself, and the slack stayed as it was first divided. Besides, each run of a process and each new owner of a rate in a large fleet began with the whole burst; and in a large fleet, an instance that started chose rate owners among those that it had heard, so that each one owned every rate for a moment.

Ruled out as the only cause: the share alone (without it, each restart with the store up still granted a burst).

Change: the store lists all instances without leases (serving.member_list); who starts counts and asks all of them, takes at most an equal share until it has heard them or has waited 3 s (steering.settling), and counts one in each failure domain at least. Buckets begin with what they gain while no run of the process can have admitted anything; the slack is divided again with each update. The fallback of large fleets likewise. In a large fleet the owner that the list gives is asked, heard or not. Registrations are renewed as soon as the store answers again.

Why it holds: the list outlasts every lease, so that each starting instance divides by the same number, and equal shares of it sum to one; what is unknown after a start (what earlier runs admitted) is counted as admitted.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -10,6 +10,7 @@
 
 from waxwingshelf.platform.names import (
     EVACUATION_PREFIX,
+    MEMBER_LIST_PREFIX,
     MEMBER_PREFIX,
     QUARANTINE_PREFIX,
     TARGET_PREFIX,
@@ -37,10 +38,12 @@
     "decode_target",
     "encode_member",
     "encode_quarantine",
+    "make_listed_member_key",
     "make_member_key",
     "make_quarantine_key",
     "make_target_key",
     "parse_evacuated_domain",
+    "parse_listed_member_name",
     "parse_member_name",
     "parse_quarantined_request",
     "parse_target_id",
@@ -244,6 +247,16 @@
     return _strip_prefix(key, QUARANTINE_PREFIX)
 
 
+def parse_listed_member_name(key: str) -> str | None:
+    """Return the instance name in a store key, or None if it is not a key of the member list."""
+    return _strip_prefix(key, MEMBER_LIST_PREFIX)
+
+
+def make_listed_member_key(name: str) -> str:
+    """Return the store key of an instance's entry in the member list."""
+    return MEMBER_LIST_PREFIX + name
+
+
 def make_quarantine_key(fingerprint: str) -> str:
     """Return the store key of the quarantine of a request."""
     return QUARANTINE_PREFIX + fingerprint
@@ -288,7 +301,7 @@
 
 
 def decode_member(value: bytes) -> PeerAddress:
-    """Decode an instance's registration; raise `DecodeError` if it is invalid."""
+    """Decode a registration, or an entry of the member list; raise `DecodeError` if invalid."""
     try:
         return _MEMBER_DECODER.decode(value)
     except (ValueError, RecursionError) as error:
@@ -296,7 +309,7 @@
 
 
 def encode_member(address: PeerAddress) -> bytes:
-    """Encode an instance's registration."""
+    """Encode an instance's registration or its entry in the member list."""
     return msgspec.json.encode(address)
 
 
--- a/src/waxwingshelf/platform/names.py
+++ b/src/waxwingshelf/platform/names.py
@@ -12,6 +12,7 @@
     "IDLE_TIMEOUT_HEADER",
     "LEAVING_HEADER",
     "LOAD_HEADER",
+    "MEMBER_LIST_PREFIX",
     "MEMBER_PREFIX",
     "NOT_RUN_HEADER",
     "ORGANISATION_HEADER",
@@ -59,5 +60,7 @@
 TARGET_PREFIX = "servers/"
 MEMBER_PREFIX = "waxwingshelf/members/"
 QUARANTINE_PREFIX = "waxwingshelf/quarantine/"
+# Like the registrations, but without a lease.
+MEMBER_LIST_PREFIX = "waxwingshelf/member-list/"
 
 SETTINGS_VARIABLE = "WAXWINGSHELF_SETTINGS"
--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -196,12 +196,12 @@
         if lease.era != self.era:
             raise StoreError(StoreErrorKind.MISSING, "keep", f"created in era {lease.era}")
 
-    async def put(self, key: str, value: bytes, lease: Lease) -> Position:
-        """Write a key unconditionally, attach it to a lease, and return the position."""
+    async def put(self, key: str, value: bytes, lease: Lease | None = None) -> Position:
+        """Write a key unconditionally, attach it to a lease if any, and return the position."""
         text = base64.b64encode(value).decode()
-        transaction = _Transaction([], [_Write(key, text, lease.id)], [])
-        content = await self._transact("put", transaction)
-        if lease.era != self.era:
+        write = _Write(key, text, _NO_LEASE if lease is None else lease.id)
+        content = await self._transact("put", _Transaction([], [write], []))
+        if lease is not None and lease.era != self.era:
             raise StoreError(StoreErrorKind.MISSING, "put", f"lease created in era {lease.era}")
         return Position(self.era, _decode(content, _Written, "put").revision)
 
--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -25,6 +25,10 @@
 _MS_PER_S = 1_000
 # A longer gap between two updates means that the process was stalled.
 _MAX_UPDATE_GAP_MS = 1_000
+# An earlier run of the process admitted nothing for this time before this one started.
+_START_DURATION_MS = 500
+# In a large fleet, another instance may have owned a rate until this time before the first request.
+_HANDOVER_DURATION_MS = 100
 # A share is logged when it differs from the last logged one by more than this factor.
 _LOGGED_SHARE_CHANGE = 1.25
 _log = structlog.get_logger("demand_tracker")
@@ -45,7 +49,7 @@
         self._buckets: dict[str, RateBucket] = {}
         self._fallback_buckets: dict[str, RateBucket] = {}
         self._logged_shares: dict[str, float] = {}
-        self._updated_ms = clock.now_ms()
+        self._started_ms = self._updated_ms = clock.now_ms()
 
     def list_demand_rates(self) -> dict[str, float]:
         """Return the requests per second of each active organisation at this instance."""
@@ -64,34 +68,43 @@
     def try_acquire_fallback(self, rule: OrganisationRule) -> bool:
         """Take a token from the small fallback bucket, used while no rate owner responds."""
         now_ms = self._clock.now_ms()
+        share = _FALLBACK_FRACTION / self._fleet.count_instances()
         bucket = self._fallback_buckets.get(rule.name)
         if bucket is None:
-            share = _FALLBACK_FRACTION / self._fleet.count_instances()
-            bucket = RateBucket(rule.rate_per_s, rule.burst, share, now_ms)
+            idle_ms = now_ms - self._started_ms
+            bucket = RateBucket(rule.rate_per_s, rule.burst, share, now_ms, idle_ms=idle_ms)
             self._fallback_buckets[rule.name] = bucket
-        else:
-            bucket.set_rate(rule.rate_per_s, rule.burst, now_ms)
+        bucket.set_rate(rule.rate_per_s, rule.burst, now_ms)
+        bucket.set_share(share, now_ms)
         return bucket.try_acquire(now_ms)
 
     def get_or_create_bucket(self, rule: OrganisationRule) -> RateBucket:
         """Return the organisation's bucket, created or updated to match its rule."""
         now_ms = self._clock.now_ms()
-        limits = (rule.rate_per_s, rule.burst)
         bucket = self._buckets.get(rule.name)
         if bucket is None:
-            share = self._compute_share(rule.name, rule.rate_per_s, now_ms)
-            slack = _SLACK_FRACTION * self._rate_slack / self._count_share_holders()
-            bucket = self._buckets[rule.name] = RateBucket(*limits, share, now_ms, slack)
-            _log.info(
-                "rate_bucket",
-                organisation=rule.name,
-                share=round(share, 4),
-                tokens=round(bucket.tokens, 1),
-                slack=round(slack, 1),
-                instances=self._fleet.count_instances(),
-            )
+            bucket = self._buckets[rule.name] = self._create_bucket(rule, now_ms)
+        else:
+            bucket.set_rate(rule.rate_per_s, rule.burst, now_ms)
+        return bucket
+
+    def _create_bucket(self, rule: OrganisationRule, now_ms: int) -> RateBucket:
+        share = self._compute_share(rule.name, rule.rate_per_s, now_ms)
+        slack = self._compute_slack()
+        if self._fleet.is_large():
+            # At least one token, since the first requests may be seconds apart.
+            idle_ms = max(_HANDOVER_DURATION_MS, math.ceil(_MS_PER_S / (rule.rate_per_s * share)))
         else:
-            bucket.set_rate(*limits, now_ms)
+            idle_ms = now_ms - self._started_ms + _START_DURATION_MS
+        bucket = RateBucket(rule.rate_per_s, rule.burst, share, now_ms, slack, idle_ms)
+        _log.info(
+            "rate_bucket",
+            organisation=rule.name,
+            share=round(share, 4),
+            tokens=round(bucket.tokens, 1),
+            slack=round(slack, 1),
+            instances=self._fleet.count_instances(),
+        )
         return bucket
 
     def update(self, routing_state: RoutingState) -> None:
@@ -108,10 +121,12 @@
             self._demand_rates[name] = rate + weight * (measured - rate)
         self._request_counts.clear()
         self._remove_unknown_organisations(routing_state)
+        slack = self._compute_slack()
         for name, bucket in self._buckets.items():
             if elapsed_ms > _MAX_UPDATE_GAP_MS:
                 bucket.clear(now_ms)
             share = self._compute_share(name, bucket.rate_per_s, now_ms)
+            bucket.set_slack(slack)
             bucket.set_share(share, now_ms)
             self._log_share(name, share, now_ms)
         self._fleet.record_demand_used()
@@ -145,6 +160,10 @@
             instances=self._fleet.count_instances(),
         )
 
+    def _compute_slack(self) -> float:
+        """Return the slack of one bucket, in tokens."""
+        return _SLACK_FRACTION * self._rate_slack / self._count_share_holders()
+
     def _count_share_holders(self) -> int:
         """Return how many instances may hold a share of one rate at the same time."""
         if self._fleet.is_large():
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -32,6 +32,7 @@
 from waxwingshelf.serving.hedged_sender import CopyConditions, HedgedSender
 from waxwingshelf.serving.internal_endpoints import InternalEndpoints
 from waxwingshelf.serving.logs import LogBuffer
+from waxwingshelf.serving.member_list import MemberListKeeper
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.own_settings import OwnSettings
 from waxwingshelf.serving.peers import PeerNetwork
@@ -109,7 +110,9 @@
         self._stop_requested = asyncio.Event()
         self._clock = clock = SystemClock()
         self._metrics = metrics = Metrics()
-        self._fleet = Fleet(settings.name, clock.now_ms(), settings.region)
+        # Each failure domain has an instance at least.
+        min_instances = len(settings.regions)
+        self._fleet = Fleet(settings.name, clock.now_ms(), settings.region, min_instances)
         self._routing_state = RoutingState(clock, self._fleet)
         owner_reports = OwnerReports(settings.name, settings.region)
         self._demand_tracker = DemandTracker(
@@ -283,6 +286,13 @@
         store_watcher.on_changes = self._peer_network.announce_changes
         store_watcher.read_from_peers = self._peer_network.read_from_seeds
         self._peer_network.is_watching = lambda: store_watcher.watching
+        member_list_keeper = MemberListKeeper(
+            self._peer_network.address,
+            self._routing_state,
+            self._fleet,
+            self._clock,
+            self._metrics,
+        )
         await self._open()
         _log_malformed_settings(self._settings)
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
@@ -298,6 +308,7 @@
             asyncio.create_task(self._prober.run()),
             asyncio.create_task(self._quarantine_keeper.run()),
             asyncio.create_task(self._quarantine_store.run(store)),
+            asyncio.create_task(member_list_keeper.run(store)),
             asyncio.create_task(self._pull_from_seeds()),
             asyncio.create_task(self._poll_settings()),
         ]
--- a/src/waxwingshelf/serving/rate_limiter.py
+++ b/src/waxwingshelf/serving/rate_limiter.py
@@ -81,6 +81,8 @@
         # 0 stands for no report in acks.
         self._report_numbers = itertools.count(1)
         self._rankings = OwnerRankings()
+        # The version of the fleet from which the candidate owners were taken.
+        self._ranked_version = -1
         self._connections: dict[PeerAddress, OwnerConnection] = {}
         self._token_server = TokenServer(self._handle_request)
         self._suspect_until_ms: dict[str, int] = {}
@@ -128,6 +130,8 @@
 
     def _list_owners(self, organisation: str) -> list[PeerAddress]:
         """Return the rate owner in this region, then the instance to ask if it does not respond."""
+        if self._fleet.version != self._ranked_version:
+            self._update_candidate_owners()
         region = self._peer_network.address.region
         ranked = self._rankings.rank(region, organisation)
         available = [address for address in ranked if self._is_available(address)]
@@ -164,7 +168,7 @@
     def _is_available(self, address: PeerAddress) -> bool:
         if address.name == self._peer_network.address.name:
             return self._peer_network.ready
-        return self._fleet.is_available(address.name, self._clock.now_ms())
+        return self._fleet.may_be_available(address.name, self._clock.now_ms())
 
     def _list_region(self, region: str) -> list[PeerAddress]:
         addresses = self._fleet.list_in_region(region)
@@ -173,6 +177,7 @@
         return addresses
 
     def _update_candidate_owners(self) -> None:
+        self._ranked_version = self._fleet.version
         for region in self._fleet.list_regions():
             candidates = list_candidate_owners(self._list_region(region))
             self._rankings.set_candidates(region, candidates)
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -19,6 +19,7 @@
     decode_quarantine,
     make_target_key,
     parse_evacuated_domain,
+    parse_listed_member_name,
     parse_member_name,
     parse_quarantined_request,
 )
@@ -69,6 +70,7 @@
 
     def replace(self, items: list[Change], position: Position, source: str) -> None:
         """Apply a listing of all keys at `position`; keys that it lacks were removed."""
+        self._fleet.settling.record_view(self._clock.now_ms())
         earlier = self.mirror.position
         changes = self.mirror.replace(items, position)
         if position.era > earlier.era and earlier != Position():
@@ -161,6 +163,8 @@
         name = parse_member_name(change.key)
         if name is not None:
             self._apply_member(name, change.value, unregistered_ms)
+        if parse_listed_member_name(change.key) is not None and change.value is not None:
+            self._apply_listed_member(change)
         fingerprint = parse_quarantined_request(change.key)
         if fingerprint is not None and change.value is not None:
             self._apply_quarantine(fingerprint, change.value, source)
@@ -197,6 +201,14 @@
         except DecodeError as error:
             _log.warning("member_rejected", member=name, detail=str(error))
 
+    def _apply_listed_member(self, change: Change) -> None:
+        # A removed entry ends nothing: a registration or heartbeats tell of an instance that runs.
+        assert change.value is not None
+        try:
+            self._fleet.record_listed(decode_member(change.value), self._clock.now_ms())
+        except DecodeError as error:
+            _log.warning("member_rejected", member=change.key, detail=str(error))
+
     def _apply_quarantine(self, fingerprint: str, value: bytes, source: str) -> None:
         # A removed entry ends nothing: an older copy of the store may lack it.
         try:
--- a/src/waxwingshelf/serving/store_watcher.py
+++ b/src/waxwingshelf/serving/store_watcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 
@@ -64,6 +65,8 @@
         self._lease: Lease | None = None
         self._registered_at = Position()
         self._watch_interrupted = asyncio.Event()
+        # Set when the store answers again, since the lease may have expired meanwhile.
+        self._regained = asyncio.Event()
         store.on_new_era = self._watch_interrupted.set
         self.on_changes: Callable[[int, WatchBatch], None] = _ignore_changes
         self.read_from_peers: Callable[[Position], Awaitable[bool]] = _read_nothing
@@ -112,7 +115,10 @@
                 if failure.kind is StoreErrorKind.UNKNOWN:
                     # The same silence may have caught the watch, whose own timeout is much longer.
                     self._watch_interrupted.set()
-            await asyncio.sleep(_RENEW_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+            self._regained.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_RENEW_INTERVAL_S * self._rng.uniform(0.9, 1.1)):
+                    await self._regained.wait()
 
     async def deregister(self) -> None:
         """Remove the registration; if that fails, it lasts until the lease expires.
@@ -179,6 +185,7 @@
         key = make_member_key(self._address.name)
         self._registered_at = await self._store.put(key, encode_member(self._address), lease)
         self._lease = lease
+        self._fleet.settling.record_registered(self._clock.now_ms())
         self._record_success("register")
         _log.info("registered", lease=lease.id, era=lease.era)
 
@@ -190,6 +197,7 @@
             _log.info(
                 "store_regained", after_failures=self._consecutive_failures, away_ms=outage_ms
             )
+            self._regained.set()
             if outage_ms >= _MIN_LEASE_EXPIRY_OUTAGE_MS:
                 self._routing_state.record_store_recovered()
         self._consecutive_failures = 0
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -19,6 +19,7 @@
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
 from waxwingshelf.steering.mirror import Position
 from waxwingshelf.steering.sent_demand import DemandAck, SentDemand
+from waxwingshelf.steering.settling import Settling
 from waxwingshelf.steering.silent_peers import SilentPeerCap
 
 __all__ = ["Fleet", "Heartbeat", "LoadReport", "Peer", "PeerAddress", "PeerDemand"]
@@ -155,9 +156,13 @@
 
 
 class Fleet:
-    """All known instances except this one."""
+    """All known instances except this one.
 
-    def __init__(self, name: str, now_ms: int, region: str = "") -> None:
+    `version` rises with each change of the instances or their regions. There are at least
+    `min_instances`, this one included, as far as the settings tell.
+    """
+
+    def __init__(self, name: str, now_ms: int, region: str = "", min_instances: int = 1) -> None:
         self._name = name
         self._region = region
         self._peers: dict[str, Peer] = {}
@@ -165,10 +170,12 @@
         self._peers_by_boot: dict[tuple[int, int], Peer] = {}
         # None after a change of the peers or their addresses.
         self._regions: set[str] | None = None
+        self.version = 0
         self._started_ms = now_ms
         self._silent_peer_caps: dict[str, SilentPeerCap] = {}
         self._sent_demand = SentDemand()
         self._rng = random.Random(name)
+        self.settling = Settling(min_instances)
         self.last_store_contact_ms: int | None = None
 
     def record_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
@@ -193,7 +200,7 @@
             peer.load_report_number = -1
             peer.heard_since = self._sent_demand.last_number
         if not is_known or heartbeat.address.region != peer.address.region:
-            self._regions = None
+            self._record_change()
         peer.address = heartbeat.address
         peer.boot, peer.number = heartbeat.boot, heartbeat.number
         peer.ready = heartbeat.ready
@@ -239,11 +246,21 @@
         if address.name == self._name:
             return
         peer = self._peers.setdefault(address.name, Peer(address))
-        self._regions = None
+        self._record_change()
         if peer.last_heartbeat_ms is None:
             peer.address = address
         peer.unregistered_at_ms = None
 
+    def record_listed(self, address: PeerAddress, now_ms: int) -> None:
+        """Add an instance that may be running, as its entry in the member list tells.
+
+        It counts as one whose registration has just ended.
+        """
+        if address.name == self._name or address.name in self._peers:
+            return
+        self._peers[address.name] = Peer(address, unregistered_at_ms=now_ms)
+        self._record_change()
+
     def record_unregistered(self, name: str, now_ms: int) -> None:
         """Record that an instance is no longer registered in the store."""
         peer = self._peers.get(name)
@@ -255,6 +272,8 @@
 
         These are the instances without a recent heartbeat whose registration ended some time ago.
         """
+        has_unheard = any(peer.last_heartbeat_ms is None for peer in self._peers.values())
+        self.settling.update(len(self._peers) + 1, has_unheard, now_ms)
         lost = [
             name
             for name, peer in self._peers.items()
@@ -263,7 +282,7 @@
             and now_ms - peer.unregistered_at_ms >= _REMOVAL_DELAY_MS
         ]
         if lost:
-            self._regions = None
+            self._record_change()
         for name in lost:
             peer = self._peers.pop(name)
             self._peers_by_boot.pop((hash_to_uint32(name), peer.boot), None)
@@ -322,6 +341,14 @@
         peer = self._peers.get(name)
         return peer is not None and peer.ready and self.has_recent_heartbeat(peer, now_ms)
 
+    def may_be_available(self, name: str, now_ms: int) -> bool:
+        """Return whether a peer is available, or may be as this instance has just started."""
+        if self.is_available(name, now_ms):
+            return True
+        peer = self._peers.get(name)
+        is_unheard = peer is not None and peer.last_heartbeat_ms is None
+        return is_unheard and self.settling.is_in_progress
+
     def is_large(self) -> bool:
         """Return whether the fleet is so large that heartbeats go only to a sample of the peers."""
         return len(self._peers) > _MAX_FULL_MESH_PEERS
@@ -381,7 +408,7 @@
 
     def count_instances(self) -> int:
         """Return the number of instances that may be running, including this one."""
-        return len(self._peers) + 1
+        return max(len(self._peers) + 1, self.settling.min_instances)
 
     def is_isolated(self, now_ms: int) -> bool:
         """Return whether peers may have wrongly concluded that this instance has stopped.
@@ -402,9 +429,11 @@
         of an unresponsive peer counts until the store confirms that the peer has stopped, and until
         then the shares of the others do not grow; see `SilentPeerCap`. A share grows only with
         demand that heartbeats have reported to the peers. An isolated instance reduces its share;
-        see `is_isolated`.
+        see `is_isolated`. An instance that has just started takes at most an equal share; see
+        `Settling`.
         """
-        if not self._peers:
+        is_settling = self.settling.is_in_progress
+        if not self._peers and not is_settling:
             return 1.0
         demand = {name: peer.demand.get(organisation, 0.0) for name, peer in self._peers.items()}
         demand[self._name] = own_demand
@@ -427,6 +456,8 @@
         share = compute_rate_share(
             proportional_share, total_demand + unacked_demand, rate, equal_share
         )
+        if is_settling:
+            share = min(share, equal_share)
         return share * self._compute_isolation_factor(now_ms)
 
     def describe_peer_demand(self, organisation: str, now_ms: int) -> PeerDemand:
@@ -447,6 +478,10 @@
         for organisation in self._silent_peer_caps.keys() - set(known):
             del self._silent_peer_caps[organisation]
 
+    def _record_change(self) -> None:
+        self._regions = None
+        self.version += 1
+
     def _list_silent_peers(self, now_ms: int) -> dict[str, int]:
         """Return the time of the last heartbeat of each silent peer."""
         return {
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -56,12 +56,22 @@
     `slack` is this instance's share of the requests that all instances together may admit beyond
     the rate. It increases the capacity, and serves the first requests at an instance whose share
     does not reflect its demand yet.
+
+    The bucket begins full, or with what it gains in `idle_ms` if that is given: the time for which
+    nothing can have been admitted here. What an earlier run of the process, or another instance in
+    its place, admitted before that is not known.
     """
 
     __slots__ = ("_at_ms", "_burst", "_share", "_slack", "_tokens", "rate_per_s")
 
     def __init__(
-        self, rate_per_s: float, burst: float, share: float, now_ms: int, slack: float = 0.0
+        self,
+        rate_per_s: float,
+        burst: float,
+        share: float,
+        now_ms: int,
+        slack: float = 0.0,
+        idle_ms: int | None = None,
     ) -> None:
         self.rate_per_s = rate_per_s
         self._burst = burst
@@ -69,6 +79,8 @@
         self._slack = slack
         self._tokens = burst * share + slack
         self._at_ms = now_ms
+        if idle_ms is not None:
+            self._tokens = min(self._tokens, self._compute_gain(idle_ms))
 
     @property
     def tokens(self) -> float:
@@ -82,6 +94,11 @@
         self._burst = burst
         self._tokens = min(self._tokens, self._compute_capacity())
 
+    def set_slack(self, slack: float) -> None:
+        """Set this instance's share of the slack; tokens beyond the new capacity are dropped."""
+        self._slack = slack
+        self._tokens = min(self._tokens, self._compute_capacity())
+
     def set_share(self, share: float, now_ms: int) -> None:
         """Set this instance's share; tokens beyond the new capacity are dropped."""
         self._refill(now_ms)
@@ -116,10 +133,13 @@
         return int(max(0.0, 1.0 - self._tokens) / rate * _MS_PER_S) + 1
 
     def _refill(self, now_ms: int) -> None:
-        gained = (now_ms - self._at_ms) / _MS_PER_S * self.rate_per_s * self._share
+        gained = self._compute_gain(now_ms - self._at_ms)
         self._at_ms = now_ms
         self._tokens = min(self._tokens + max(0.0, gained), self._compute_capacity())
 
+    def _compute_gain(self, elapsed_ms: int) -> float:
+        return elapsed_ms / _MS_PER_S * self.rate_per_s * self._share
+
     def _compute_capacity(self) -> float:
         return max(self._burst * self._share + self._slack, 1.0)
 
