Teach the soak stops with waiting requests and restarts with the store away

Change: two checks after the fault phase, each with seeded variants. A stop (sometimes signalled twice) while 160 requests wait for targets that are busy or have asked for time; and a restart of all instances while the store is away for longer than their leases, sometimes again during the recovery, while an organisation asks for five times its rate. A status 500 counts as no answer.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -18,13 +18,29 @@
 from tests.soak.proxy import Proxy
 from tools.processes import find_ports
 
-__all__ = ["HOST", "INSTANCES", "TARGETS", "Process", "SoakDeployment"]
+__all__ = [
+    "DEADLY_TEXT",
+    "GRACE_PERIOD_S",
+    "HOST",
+    "INSTANCES",
+    "LIMITED_BURST",
+    "LIMITED_KEY",
+    "LIMITED_RATE_PER_S",
+    "TARGETS",
+    "Process",
+    "SoakDeployment",
+]
 
 HOST = "127.0.0.1"
 REGIONS = {"north-1": "north", "south-1": "south"}
 INSTANCES = 4
 TARGETS = 4
 DEADLY_TEXT = "deadly"
+GRACE_PERIOD_S = 4
+# The key and the limits of an organisation that asks for more than its rate.
+LIMITED_KEY = "limited-key"
+LIMITED_RATE_PER_S = 40
+LIMITED_BURST = 40
 
 
 @dataclass(slots=True)
@@ -148,12 +164,24 @@
                 "priority": 1,
                 "sticky": True,
                 "match": {"path_prefix": f"/{name}/"},
-                "action": {"service": "work", "timeout_ms": 1_000, "attempts": 2},
+                "action": {"service": "work", "timeout_ms": timeout_ms, "attempts": 2},
             }
-            for name, kind in (("read", "safe"), ("order", "unsafe"))
+            for name, kind, timeout_ms in (
+                ("read", "safe", 1_000),
+                ("order", "unsafe", 1_000),
+                ("patient", "unsafe", 10_000),
+            )
+        ]
+        tenants = [
+            {"name": "acme", "api_keys": ["key"], "rate_per_s": 5_000, "burst": 5_000},
+            {
+                "name": "limited",
+                "api_keys": [LIMITED_KEY],
+                "rate_per_s": LIMITED_RATE_PER_S,
+                "burst": LIMITED_BURST,
+            },
         ]
-        tenant = {"name": "acme", "api_keys": ["key"], "rate_per_s": 5_000, "burst": 5_000}
-        config = {"version": f"r{self.config_version}", "tenants": [tenant]}
+        config = {"version": f"r{self.config_version}", "tenants": tenants}
         config["listeners"] = [{"host": "a.example", "rules": rules}]
         config["clusters"] = [{"name": "work"}]
         self.store.put("op/config", config)
@@ -181,7 +209,7 @@
 [platform.platform]
 address = "{HOST}:{self.store_proxy.port}"
 [terms.bounds]
-grace_period_s = 4
+grace_period_s = {GRACE_PERIOD_S}
 """)
         process = Process(f"n{number}", host, ports, settings, self.folder / f"n{number}.log")
         self.processes.append(process)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from standins.platform_target import ResponseMode
 from tests.soak.deployment import DEADLY_TEXT, HOST, INSTANCES, TARGETS, Process, SoakDeployment
 from tests.soak.proxy import LinkFault, Proxy
+from tests.soak.stops import check_rate_after_restart, check_stop_while_requests_wait
 
 CLIENTS = 12
 FAULT_PHASE_S = 8.0
@@ -78,6 +79,9 @@
                 await self._run_fault_phase(session)
                 await self._check_recovery(session)
                 await self._check_deadly_request(session)
+                await check_stop_while_requests_wait(self, session)
+                await check_rate_after_restart(self, session)
+                await self._check_recovery(session)
             self._check_runs()
             return self.violations
         finally:
@@ -95,16 +99,19 @@
         while True:
             process = self.rng.choice(self.deployment.processes)
             unsafe = self.rng.random() < 0.5
-            await self._send_request(session, process, unsafe)
+            await self.send_request(session, process, unsafe)
             await asyncio.sleep(0.01)
 
-    async def _send_request(
+    async def send_request(
         self,
         session: aiohttp.ClientSession,
         process: Process,
         unsafe: bool,
         path: str = "",
+        key: str = "key",
+        deadline_ms: int = 2_000,
     ) -> int:
+        """Send a request and return its status, 0 for no response."""
         request_id = f"id-{len(self.statuses)}"
         self.statuses[request_id] = 0
         if unsafe:
@@ -113,14 +120,14 @@
             "Host": "a.example",
             "Attempt-Id": request_id,
             "Affinity-Key": str(self.rng.randrange(20)),
-            "Deadline-Ms": "2000",
-            "Credential": "key",
+            "Deadline-Ms": str(deadline_ms),
+            "Credential": key,
         }
         path = path or f"/{'order' if unsafe else 'read'}/x"
         url = f"http://{process.host}:{process.ports[0]}{path}"
         method = "POST" if unsafe else "GET"
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with asyncio.timeout(3.0):
+            async with asyncio.timeout(deadline_ms / 1_000 + 1.0):
                 async with session.request(method, url, headers=headers) as response:
                     body = await response.read()
                     self._record_response(request_id, response.status, body)
@@ -129,11 +136,11 @@
     def _record_response(self, request_id: str, status: int, body: bytes) -> None:
         self.statuses[request_id] = status
         if status == 200 and body != f"answer to {request_id}".encode():
-            self._add_violation(
+            self.add_violation(
                 "each client receives its own complete response", f"{request_id}: {body!r}"
             )
         if status in (401, 403, 404):
-            self._add_violation(
+            self.add_violation(
                 "requests that the configuration allows are served", f"{request_id}: {status}"
             )
 
@@ -164,7 +171,7 @@
         for process in self.rng.sample(self.deployment.processes, count):
             self.deployment.send_signal(process, signal.SIGKILL)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
-        self._restart_exited()
+        self.restart_exited()
 
     async def _terminate_process(self) -> None:
         self.deployment.send_signal(self.rng.choice(self.deployment.processes), signal.SIGTERM)
@@ -230,7 +237,7 @@
         await asyncio.sleep(0.7)
         no_recent_fault = self.last_fault_s < removed_s - QUIET_PERIOD_S
         if no_recent_fault and len(self.deployment.targets[number].request_heads) > count_before:
-            self._add_violation("a removed target receives no new requests", f"t{number}")
+            self.add_violation("a removed target receives no new requests", f"t{number}")
         self.deployment.register(number)
         del self.removal_times_s[number]
 
@@ -251,7 +258,7 @@
         no_recent_fault = self.last_fault_s < left_s - QUIET_PERIOD_S
         sent = len(target.request_heads) - count_before
         if no_recent_fault and sent > 2 * INSTANCES:
-            self._add_violation("a leaving target receives no new requests", f"t{number}: {sent}")
+            self.add_violation("a leaving target receives no new requests", f"t{number}: {sent}")
         target.leaving = False
         self.deployment.start_new_run(number)
         del self.removal_times_s[number]
@@ -272,7 +279,7 @@
         async with aiohttp.ClientSession() as session:
             for _ in range(self.rng.randrange(10, 40)):
                 process = self.rng.choice(self.deployment.processes)
-                await self._send_request(session, process, unsafe=False, path=path)
+                await self.send_request(session, process, unsafe=False, path=path)
                 await asyncio.sleep(0.05)
         if self._count_crashes() - crashes_before >= CRASHES_TO_QUARANTINE:
             self.deadly_path = path
@@ -297,14 +304,15 @@
         self.deployment.write_again()
         self.last_fault_s = time.monotonic()
 
-    def _restart_exited(self) -> None:
+    def restart_exited(self) -> None:
+        """Start the processes that have exited."""
         for process in self.deployment.restart_exited():
-            self._add_violation("no process exits unexpectedly", f"{process.name}: {process.log}")
+            self.add_violation("no process exits unexpectedly", f"{process.name}: {process.log}")
 
     async def _wait_until_served(self, session: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(RECOVERY_S):
             for process in self.deployment.processes:
-                while await self._send_request(session, process, unsafe=False) != 200:
+                while await self.send_request(session, process, unsafe=False) != 200:
                     await asyncio.sleep(0.1)
 
     async def _check_recovery(self, session: aiohttp.ClientSession) -> None:
@@ -314,10 +322,10 @@
         await asyncio.sleep(0.2)
         deadline = time.monotonic() + RECOVERY_S
         for process in self.deployment.processes:
-            while await self._send_request(session, process, unsafe=False) != 200:
-                self._restart_exited()
+            while await self.send_request(session, process, unsafe=False) != 200:
+                self.restart_exited()
                 if time.monotonic() > deadline:
-                    self._add_violation("service recovers after the last fault", process.name)
+                    self.add_violation("service recovers after the last fault", process.name)
                     return
                 await asyncio.sleep(0.2)
 
@@ -328,10 +336,10 @@
         await asyncio.sleep(QUARANTINE_WAIT_S)
         before = self._count_crashes()
         for process in self.deployment.processes * 3:
-            await self._send_request(session, process, unsafe=False, path=self.deadly_path)
+            await self.send_request(session, process, unsafe=False, path=self.deadly_path)
         crashes = self._count_crashes() - before
         if crashes > ALLOWED_RETRIES:
-            self._add_violation(
+            self.add_violation(
                 "a request that crashes targets is stopped", f"{self.deadly_path}: {crashes}"
             )
 
@@ -341,17 +349,18 @@
             runs.update(target.runs)
         for request_id, status in self.statuses.items():
             if request_id in self.unsafe_ids and runs[request_id] > 1:
-                self._add_violation(
+                self.add_violation(
                     "an order runs at most once", f"{request_id}: {runs[request_id]} runs"
                 )
             if request_id in self.unsafe_ids and status in NOT_RUN_STATUSES and runs[request_id]:
-                self._add_violation(
+                self.add_violation(
                     "a request reported as not run did not run", f"{request_id}: {status}"
                 )
         if not any(status == 200 for status in self.statuses.values()):
-            self._add_violation("requests are served", "no request was served")
+            self.add_violation("requests are served", "no request was served")
 
-    def _add_violation(self, guarantee: str, detail: str) -> None:
+    def add_violation(self, guarantee: str, detail: str) -> None:
+        """Record a guarantee that did not hold."""
         self.violations.append(Violation(guarantee, detail))
 
 
