Spare cold targets after restarts

What callers saw: after all instances had restarted while the store was away, cold targets got 31 to 33 requests in a second where 26 are allowed, and fell over with what they ran (rule FAILBACK).

And it was counted anew by each run of a process: two runs within a second sent twice the limit. Besides, the limiter alone counted names, while other limits ask Fleet.count_instances, which knows that there may be more.

Change: the limiter divides by Fleet.count_instances. Until what an earlier run may have sent no longer counts, 0.6 s after the start, it sends nothing to cold targets; other targets are not concerned.

--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -10,7 +10,7 @@
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.steering.config import OrganisationRule
 from waxwingshelf.steering.fleet import Fleet
-from waxwingshelf.steering.limits import RateBucket
+from waxwingshelf.steering.limits import START_DURATION_MS, RateBucket
 from waxwingshelf.steering.owners import MAX_OWNERS_ASKED, OwnerReports
 
 __all__ = ["DemandTracker"]
@@ -25,8 +25,6 @@
 _MS_PER_S = 1_000
 # A longer gap between two updates means that the process was stalled.
 _MAX_UPDATE_GAP_MS = 1_000
-# An earlier run of the process admitted nothing for this time before this one started.
-_START_DURATION_MS = 500
 # In a large fleet, another instance may have owned a rate until this time before the first request.
 _HANDOVER_DURATION_MS = 100
 # A share is logged when it differs from the last logged one by more than this factor.
@@ -95,7 +93,7 @@
             # At least one token, since the first requests may be seconds apart.
             idle_ms = max(_HANDOVER_DURATION_MS, math.ceil(_MS_PER_S / (rule.rate_per_s * share)))
         else:
-            idle_ms = now_ms - self._started_ms + _START_DURATION_MS
+            idle_ms = now_ms - self._started_ms + START_DURATION_MS
         bucket = RateBucket(rule.rate_per_s, rule.burst, share, now_ms, slack, idle_ms)
         _log.info(
             "rate_bucket",
--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -87,7 +87,7 @@
         self._fleet = fleet
         self._clock = clock
         self._metrics = metrics
-        self._cold_limiter = ColdTargetLimiter(instance_name)
+        self._cold_limiter = ColdTargetLimiter(instance_name, clock.now_ms())
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._durations: dict[str, RouteDurations] = {}
         self._response_sizes: dict[str, ResponseSize] = {}
@@ -149,7 +149,11 @@
             return True
         max_sends_per_s = rule.cold_per_s * self._bounds.cold_overage + self._bounds.cold_slack
         return self._cold_limiter.try_acquire(
-            state.target.id, max_sends_per_s, self._fleet.list_instance_names(), now_ms
+            state.target.id,
+            max_sends_per_s,
+            self._fleet.list_instance_names(),
+            now_ms,
+            self._fleet.count_instances(),
         )
 
     def estimate_download_bytes(self, route: RouteRule) -> int:
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -12,7 +12,16 @@
 
 from waxwingshelf.core.rendezvous import rank
 
-__all__ = ["ColdTargetLimiter", "RateBucket", "RetryBudget", "compute_rate_share"]
+__all__ = [
+    "START_DURATION_MS",
+    "ColdTargetLimiter",
+    "RateBucket",
+    "RetryBudget",
+    "compute_rate_share",
+]
+
+# An earlier run of a process did nothing for this time before the next one started.
+START_DURATION_MS = 500
 
 _MS_PER_S = 1_000
 # Only these fractions of the ratio and the slack are used, because the limits hold for sliding
@@ -186,27 +195,42 @@
 
     If there are more instances than the limit supports, only some of them may send to the target:
     those that rank first by rendezvous hashing, which gives the same result on every instance.
+
+    What an earlier run of the process sent before `started_ms`, a clock reading, is not known, so
+    nothing is sent until it no longer counts.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, started_ms: int | None = None) -> None:
         self._name = name
+        self._closed_until_ms: int | None = None
+        if started_ms is not None:
+            self._closed_until_ms = started_ms - START_DURATION_MS + _COLD_WINDOW_MS
         self._send_times: dict[str, deque[int]] = {}
         self._sender_cache: dict[str, tuple[list[str], bool]] = {}
 
     def try_acquire(
-        self, target_id: str, limit_per_s: float, instance_names: list[str], now_ms: int
+        self,
+        target_id: str,
+        limit_per_s: float,
+        instance_names: list[str],
+        now_ms: int,
+        instance_count: int = 0,
     ) -> bool:
         """Count a request to a cold target; return False if this instance may not send it now.
 
-        `instance_names` are the names of all instances that may be running.
+        `instance_names` are the names of all known instances that may be running. There may be
+        others, `instance_count` in all.
         """
+        if self._closed_until_ms is not None and now_ms < self._closed_until_ms:
+            return False
+        instance_count = max(instance_count, len(instance_names), 1)
         max_senders = max(1, int(limit_per_s / _COLD_REQUESTS_PER_INSTANCE))
-        if len(instance_names) > max_senders:
+        if instance_count > max_senders:
             if not self._is_chosen_sender(target_id, max_senders, instance_names):
                 return False
             instance_limit = _COLD_REQUESTS_PER_INSTANCE
         else:
-            instance_limit = max(1, int(limit_per_s / max(1, len(instance_names))))
+            instance_limit = max(1, int(limit_per_s / instance_count))
         if len(self._send_times) > _MAX_TRACKED_TARGETS:
             self._remove_idle(now_ms)
         send_times = self._send_times.setdefault(target_id, deque())
--- a/tests/serving/restarting_fleet.py
+++ b/tests/serving/restarting_fleet.py
@@ -35,6 +35,7 @@
 from waxwingshelf.serving.store_watcher import StoreWatcher
 from waxwingshelf.serving.token_requests import TokenRequest, TokenResponse
 from waxwingshelf.steering.fleet import Fleet, PeerAddress
+from waxwingshelf.steering.limits import ColdTargetLimiter
 from waxwingshelf.steering.mirror import Change, Position
 from waxwingshelf.steering.owners import OwnerReports
 
@@ -205,6 +206,7 @@
         clock = simulation.loop
         settings = self._build_settings()
         self.first_admitted_ms = None
+        self.cold_limiter = ColdTargetLimiter(self.name, clock.now_ms())
         self.fleet = Fleet(self.name, clock.now_ms(), settings.region, len(settings.regions))
         self.routing_state = RoutingState(clock, self.fleet)
         reports = OwnerReports(self.name, settings.region)
@@ -337,6 +339,8 @@
         self.admitted_ms: list[int] = []
         self.refused_ms: list[int] = []
         self.unserved = 0
+        # Called for each running instance with a configuration, once a tick.
+        self.on_tick: Callable[[Node], None] = lambda node: None
         self._requests: set[asyncio.Task[None]] = set()
 
     def set_demand(self, factor: float, weights: Collection[float] | None = None) -> None:
@@ -393,6 +397,8 @@
         while self.loop.now_ms() < end_ms:
             await asyncio.sleep(TICK_MS / 1_000)
             for node in self.nodes:
+                if node.is_running and node.routing_state.config is not None:
+                    self.on_tick(node)
                 node.credit += node.per_s * TICK_MS / 1_000
                 while node.credit >= 1.0:
                     node.credit -= 1.0
