Give watches of the store no more time than a change may take

Cause: nothing but a watch's own time shows that its connection is silent, and that was 10 s and a margin of 1 s. Calls on other connections went on. The next watch could take an idle connection that was silent as well.

Change: a watch lasts config_apply_ms of the settings less 1.3 s, at least 0.5 s; watches have a session of their own.

--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -41,13 +41,15 @@
 class Bounds:
     """Limits set by the platform.
 
-    `grace_period_ms` bounds the shutdown of an instance, and `max_ttl_ms` the time for which a
-    caller may use a response of the directory. The retry, cold-target and rate limits apply to all
+    `grace_period_ms` bounds the shutdown of an instance, `max_ttl_ms` the time for which a caller
+    may use a response of the directory, and `config_apply_ms` the time until a change of the
+    configuration is in force. The retry, cold-target and rate limits apply to all
     instances together.
     """
 
     grace_period_ms: int = 6_000
     max_ttl_ms: int = 5_000
+    config_apply_ms: int = 2_500
     retry_ratio: float = 0.2
     retry_slack: float = 56.0
     cold_overage: float = 1.5
@@ -120,6 +122,7 @@
 class _Bounds(msgspec.Struct):
     grace_period_s: Amount = 6
     ttl_max_s: Amount = 5
+    config_apply_ms: Amount = 2_500
     retry_budget_ratio: Amount = 0.2
     retry_budget_slack: Amount = 56
     cold_overage: Amount = 1.5
@@ -142,13 +145,14 @@
 _STRICT_VALUES: dict[FieldName, Any] = {
     (_Bounds, "grace_period_s"): 4.0,
     (_Bounds, "ttl_max_s"): 1.0,
+    (_Bounds, "config_apply_ms"): 2_000.0,
     (_Bounds, "retry_budget_ratio"): 0.0,
     (_Bounds, "retry_budget_slack"): 0.0,
     (_Bounds, "cold_overage"): 1.0,
     (_Bounds, "cold_slack"): 0.0,
     (_Bounds, "quota_slack"): 0.0,
-    (_Terms, "bounds"): _Bounds(4.0, 1.0, 0.0, 0.0, 1.0, 0.0, 0.0),
-    (_File, "terms"): _Terms(_Bounds(4.0, 1.0, 0.0, 0.0, 1.0, 0.0, 0.0)),
+    (_Terms, "bounds"): _Bounds(4.0, 1.0, 2_000.0, 0.0, 0.0, 1.0, 0.0, 0.0),
+    (_File, "terms"): _Terms(_Bounds(4.0, 1.0, 2_000.0, 0.0, 0.0, 1.0, 0.0, 0.0)),
 }
 
 
@@ -186,6 +190,7 @@
         bounds=Bounds(
             grace_period_ms=int(bounds.grace_period_s * 1_000),
             max_ttl_ms=int(bounds.ttl_max_s * 1_000),
+            config_apply_ms=int(bounds.config_apply_ms),
             retry_ratio=bounds.retry_budget_ratio,
             retry_slack=bounds.retry_budget_slack,
             cold_overage=bounds.cold_overage,
--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -137,12 +137,19 @@
     """HTTP client of the store; a failed call raises `StoreError`.
 
     `era` is the latest era in the store's answers. `on_new_era` is called when it rises, except for
-    the first answer.
+    the first answer. Watches have a session of their own: after one on a silent connection, the
+    next one opens a new connection instead of an idle one that may have gone silent too.
     """
 
-    def __init__(self, endpoint: Endpoint, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        session: aiohttp.ClientSession,
+        watch_session: aiohttp.ClientSession,
+    ) -> None:
         self._base_url = f"http://{endpoint}"
         self._session = session
+        self._watch_session = watch_session
         self._answered = False
         self.era = 0
         self.on_new_era: Callable[[], None] = _ignore_new_era
@@ -176,7 +183,9 @@
         """Wait up to `wait_ms` for changes after a revision, and return them."""
         query = {"path_prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
         timeout_s = wait_ms / _MS_PER_S + _WATCH_MARGIN_S
-        body = await self._call("watch", "GET", "/api/kv-watch", timeout_s, query)
+        body = await self._call(
+            "watch", "GET", "/api/kv-watch", timeout_s, query, session=self._watch_session
+        )
         events = _decode(body, _Events, "watch")
         changes = [_to_change(item) for item in events.events]
         return WatchBatch(changes, Position(self.era, events.as_of))
@@ -235,11 +244,12 @@
         timeout_s: float,
         query: dict[str, str] | None = None,
         body: bytes | None = None,
+        session: aiohttp.ClientSession | None = None,
     ) -> bytes:
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
             async with asyncio.timeout(timeout_s):
-                async with self._session.request(
+                async with (session or self._session).request(
                     method,
                     self._base_url + path,
                     params=query,
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -273,8 +273,8 @@
 
     async def run(self) -> None:
         """Run all tasks until the graceful shutdown is complete."""
-        session = build_session(_STORE_KEEPALIVE_S)
-        store = StoreClient(self._settings.store, session)
+        sessions = [build_session(_STORE_KEEPALIVE_S) for _ in range(2)]
+        store = StoreClient(self._settings.store, *sessions)
         store_watcher = StoreWatcher(
             store,
             self._routing_state,
@@ -282,6 +282,7 @@
             self._peer_network.address,
             self._clock,
             self._metrics,
+            self._settings.bounds.config_apply_ms,
         )
         store_watcher.on_changes = self._peer_network.announce_changes
         store_watcher.read_from_peers = self._peer_network.read_from_seeds
@@ -323,7 +324,7 @@
             for task in [*tasks, stop_waiter]:
                 task.cancel()
             await asyncio.gather(*tasks, stop_waiter, return_exceptions=True)
-            await self._close(session)
+            await self._close(sessions)
         _log.info("stopped", in_flight=self._request_handler.in_flight)
         self._logs.close()
 
@@ -406,11 +407,12 @@
         await asyncio.sleep(_LAST_REFUSALS_S)
         deregistration.cancel()
 
-    async def _close(self, session: aiohttp.ClientSession) -> None:
+    async def _close(self, sessions: list[aiohttp.ClientSession]) -> None:
         """Close everything; connections that do not close in time end with the process."""
         self._rate_limiter.close()
         self._crash_detector.close()
-        closing = (self._upstream.close(), self._peer_network.close(), session.close())
+        closing = [self._upstream.close(), self._peer_network.close()]
+        closing += [session.close() for session in sessions]
         try:
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
                 await asyncio.gather(*closing)
--- a/src/waxwingshelf/serving/store_watcher.py
+++ b/src/waxwingshelf/serving/store_watcher.py
@@ -26,7 +26,11 @@
 __all__ = ["StoreWatcher"]
 
 _ALL_KEYS = ""
-_WATCH_TIMEOUT_MS = 10_000
+# A watch on a connection that goes silent must end, and the next one bring what it missed, before a
+# change has to be in force. This time is left for the margin of the call, the pause and the answer.
+_WATCH_RECOVERY_MS = 1_300
+_MIN_WATCH_TIMEOUT_MS = 500
+_MAX_WATCH_TIMEOUT_MS = 10_000
 # After a failure, a watch that gets no answer is given up sooner, so that the end of an outage is
 # noticed soon.
 _WATCH_TIMEOUT_AFTER_FAILURE_MS = 500
@@ -54,7 +58,11 @@
         address: PeerAddress,
         clock: Clock,
         metrics: Metrics,
+        config_apply_ms: int,
     ) -> None:
+        self._watch_timeout_ms = min(
+            max(config_apply_ms - _WATCH_RECOVERY_MS, _MIN_WATCH_TIMEOUT_MS), _MAX_WATCH_TIMEOUT_MS
+        )
         self._store = store
         self._routing_state = routing_state
         self._fleet = fleet
@@ -150,9 +158,9 @@
         return self._store.era > self._routing_state.mirror.position.era
 
     async def _watch(self) -> None:
-        timeout_ms = (
-            _WATCH_TIMEOUT_AFTER_FAILURE_MS if self._consecutive_failures else _WATCH_TIMEOUT_MS
-        )
+        timeout_ms = self._watch_timeout_ms
+        if self._consecutive_failures:
+            timeout_ms = _WATCH_TIMEOUT_AFTER_FAILURE_MS
         revision = self._routing_state.mirror.position.revision
         batch = await self._run_interruptible(self._store.watch(_ALL_KEYS, revision, timeout_ms))
         self._record_success("watch")
--- a/tests/platform/test_unknown_values.py
+++ b/tests/platform/test_unknown_values.py
@@ -405,6 +405,7 @@
 cold_slack = 9
 quota_slack = 30
 ttl_max_s = 3
+config_apply_ms = 3000
 """
 # The text, its replacement, and what the settings have instead.
 SETTINGS_CASES: list[tuple[str, str, dict[str, Any]]] = [
@@ -414,6 +415,7 @@
     ('south-1 = "south"', "south-1 = 7", {"regions": {"north-1": "north"}}),
     ("grace_period_s = 8", 'grace_period_s = "x"', {"grace_period_ms": 4_000}),
     ("ttl_max_s = 3", "ttl_max_s = []", {"max_ttl_ms": 1_000}),
+    ("config_apply_ms = 3000", 'config_apply_ms = "x"', {"config_apply_ms": 2_000}),
     ("retry_budget_ratio = 0.1", 'retry_budget_ratio = "x"', {"retry_ratio": 0.0}),
     ("retry_budget_ratio = 0.1", "retry_budget_ratio = inf", {"retry_ratio": 0.0}),
     ("retry_budget_slack = 40", "retry_budget_slack = -1", {"retry_slack": 0.0}),
--- a/tests/serving/restarting_fleet.py
+++ b/tests/serving/restarting_fleet.py
@@ -231,6 +231,7 @@
             self.network.address,
             clock,
             Metrics(),
+            settings.bounds.config_apply_ms,
         )
         watcher.on_changes = self.network.announce_changes
         self.network.is_watching = lambda: watcher.watching
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -37,6 +37,7 @@
         self._destination = (host, port)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self._healed = asyncio.Event()
         self.fault = LinkFault.NONE
         self.port = 0
@@ -63,6 +64,10 @@
             for writer in list(self._writers):
                 _reset_connection(writer)
 
+    def silence_connections(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        self._silent |= self._writers
+
     def stop(self) -> None:
         """Stop listening and abort all connections."""
         if self._server is not None:
@@ -92,6 +97,7 @@
             task.cancel()
         for end in writers:
             self._writers.discard(end)
+            self._silent.discard(end)
             end.transport.abort()
 
     async def _relay(
@@ -101,7 +107,7 @@
             while data := await reader.read(_CHUNK_BYTES):
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(_DELAY_S)
-                is_silent = self.fault is LinkFault.SILENT
+                is_silent = self.fault is LinkFault.SILENT or writer in self._silent
                 if is_silent or (self.fault is LinkFault.ONE_WAY and not forward):
                     # A connection stays silent after the fault ends; only new connections work.
                     await asyncio.sleep(_SILENCE_S)
