Notice that a caller has left while its large body is unread

Cause: a body over 1 MiB is read only so far before its request waits for a target. The server library then pauses the connection, and learns of its end only by reading on. Requests that peers hand over were concerned as well.

Change: while such a request is dispatched, or sent for a peer, the operating system is asked every 0.1 s whether the other end has finished or reset the connection; then the handler is cancelled. Nothing more is read, so the memory is bounded as before.

Cost: a timer and one system call every 0.1 s for each request with a body over 1 MiB.

--- a/src/waxwingshelf/serving/relay.py
+++ b/src/waxwingshelf/serving/relay.py
@@ -10,6 +10,7 @@
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.platform.names import REQUEST_ID_HEADER
 from waxwingshelf.serving.bodies import read_body
+from waxwingshelf.serving.caller_departures import cancel_when_caller_leaves
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.headers import copy_end_to_end_headers, parse_deadline
 from waxwingshelf.serving.metrics import Metrics
@@ -107,13 +108,14 @@
         outgoing.body = await read_body(request, max_bytes=sys.maxsize)
         outgoing.fingerprint = compute_fingerprint(outgoing)
         timeout_ms = _DEFAULT_TIMEOUT_MS if remaining_ms is None else remaining_ms
-        result = await self._upstream.fetch(
-            state.target,
-            outgoing,
-            timeout_ms + _RESPONSE_TRANSIT_MS,
-            handle_report=lambda report: self._dispatch_state.apply_report(state, report),
-            may_still_send=lambda: self._may_send_to(state),
-        )
+        with cancel_when_caller_leaves(request, outgoing.body):
+            result = await self._upstream.fetch(
+                state.target,
+                outgoing,
+                timeout_ms + _RESPONSE_TRANSIT_MS,
+                handle_report=lambda report: self._dispatch_state.apply_report(state, report),
+                may_still_send=lambda: self._may_send_to(state),
+            )
         if isinstance(result, SendFailure) and result.kind is FailureKind.NOT_CONNECTED:
             if await self._prober.are_links_lost():
                 return SendFailure(FailureKind.UNREACHABLE, target_id, result.detail)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -17,6 +17,7 @@
     REQUEST_ID_HEADER,
 )
 from waxwingshelf.serving.bodies import BodyTooLargeError, read_body
+from waxwingshelf.serving.caller_departures import cancel_when_caller_leaves
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher
 from waxwingshelf.serving.exchange import (
@@ -167,7 +168,8 @@
         # After a stall, a request and its caller's disconnect may be read together: let the event
         # loop process the disconnect before the request is dispatched.
         await asyncio.sleep(0)
-        result = await self._dispatcher.dispatch(exchange)
+        with cancel_when_caller_leaves(request, exchange.outgoing.body):
+            result = await self._dispatcher.dispatch(exchange)
         if isinstance(result, UpstreamResponse):
             _log_response(exchange, result, received.received_ms, self._clock.now_ms())
         if admission.bucket and isinstance(result, Refusal) and not result.maybe_run:
