Split what forbids a send from the dispatcher, and peers' reports from the fleet

Change: serving.placement_checks decides whether a request may be sent at all (quarantine, lost links, pauses, the end of the process); steering.peer_reports holds the messages' data. No behaviour.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
 import structlog
@@ -24,6 +23,7 @@
 )
 from waxwingshelf.serving.hedged_sender import HedgedSender
 from waxwingshelf.serving.metrics import Metrics
+from waxwingshelf.serving.placement_checks import NoPlacement, PlacementChecks
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.send_results import (
     OutgoingRequest,
@@ -59,16 +59,7 @@
         """Keep a trial for the next copy, as this one was not sent."""
 
 
-@dataclass(frozen=True, slots=True)
-class _NoPlacement:
-    """Why a request gets no target, and when it may come back."""
-
-    reason: RefusalReason
-    detail: str
-    retry_after_ms: int
-
-
-_QueuedRequest = tuple[Exchange, "asyncio.Future[Attempt | _NoPlacement]"]
+_QueuedRequest = tuple[Exchange, "asyncio.Future[Attempt | NoPlacement]"]
 
 
 class Dispatcher:
@@ -99,8 +90,7 @@
         # The versions of what decides whether the waiting requests of a service can be placed, when
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
-        # When requests in progress are interrupted, once the process is being stopped.
-        self._ends_at_ms: int | None = None
+        self._checks = PlacementChecks(routing_state, dispatch_state, sender, clock)
 
     async def run(self) -> None:
         """Serve the queues periodically while requests wait, until cancelled.
@@ -119,7 +109,7 @@
 
     def begin_shutdown(self, ends_at_ms: int) -> None:
         """Refuse, from now on, the requests that no target would answer before `ends_at_ms`."""
-        self._ends_at_ms = ends_at_ms
+        self._checks.begin_shutdown(ends_at_ms)
         for queue in self._queues.values():
             queue.end_at(ends_at_ms)
 
@@ -130,7 +120,7 @@
             exchange.service, exchange.allowed_regions, self._clock.now_ms(), warm_ms
         )
         fingerprint = exchange.outgoing.fingerprint
-        if self._get_quarantine_ms(exchange) > 0:
+        if self._checks.get_quarantine_ms(exchange) > 0:
             exchange.is_trial = await self._trials.try_begin_trial(fingerprint)
         try:
             return await self._dispatch(exchange)
@@ -153,12 +143,13 @@
     async def _wait_for_placement(self, exchange: Exchange) -> Attempt | Refusal:
         queue = self._get_queue(exchange.service)
         exchange.queued_at_ms = now_ms = self._clock.now_ms()
-        unplaceable = self._find_why_unplaceable(exchange)
-        if unplaceable is not None:
-            return _refuse_placement(exchange, unplaceable)
+        obstacle = self._checks.find_obstacle(exchange)
+        if obstacle is not None:
+            return obstacle.refuse(exchange)
         waiter = self._build_waiter(exchange)
-        if self._is_bound_by_shutdown(waiter) and now_ms > waiter.latest_send_ms:
-            return _refuse_placement(exchange, _build_stopping())
+        stop = self._checks.find_stop(exchange)
+        if stop is not None and now_ms > waiter.latest_send_ms:
+            return stop.refuse(exchange)
         if queue.is_full():
             retry_after_ms = choose_retry_after_ms(queue.announce_return(waiter, now_ms))
             self._record_queue_position(waiter)
@@ -191,12 +182,12 @@
                 if isinstance(placed, Attempt):
                     self._dispatch_state.finish_attempt(placed)
             raise
-        if isinstance(result, _NoPlacement):
+        if isinstance(result, NoPlacement):
             is_refused = result.reason is RefusalReason.NO_ROOM
             self._metrics.organisation_waits.labels(
                 "refused" if is_refused else "unplaceable"
             ).inc()
-            return _refuse_placement(exchange, result)
+            return result.refuse(exchange)
         self._metrics.organisation_waits.labels("placed").inc()
         return result
 
@@ -211,14 +202,11 @@
     def _build_waiter(self, exchange: Exchange) -> Waiter[_QueuedRequest]:
         warm_ms = int(self._dispatch_state.get_durations(exchange.route).warm_ms)
         has_choice = exchange.route.sticky and not exchange.excluded_targets
-        deadline_ms = exchange.deadline_ms
-        if self._ends_at_ms is not None:
-            deadline_ms = min(deadline_ms, self._ends_at_ms)
         return Waiter(
             (exchange, asyncio.get_running_loop().create_future()),
             exchange.priority,
             exchange.latency_objective_at_ms - warm_ms,
-            deadline_ms - warm_ms,
+            self._checks.compute_deadline_ms(exchange) - warm_ms,
             exchange.allowed_regions,
             route_priority=exchange.route.priority,
             organisation=exchange.organisation,
@@ -227,10 +215,6 @@
             work_ms=warm_ms,
         )
 
-    def _is_bound_by_shutdown(self, waiter: Waiter[_QueuedRequest]) -> bool:
-        """Return whether the end of the process leaves less time than the request's deadline."""
-        return self._ends_at_ms is not None and self._ends_at_ms < waiter.item[0].deadline_ms
-
     def _record_queue_position(self, waiter: Waiter[_QueuedRequest]) -> None:
         """Record the position in the queue and the share of a request that is refused."""
         exchange = waiter.item[0]
@@ -240,49 +224,6 @@
         exchange.position = waiter.position
         exchange.share = usage / exchange.weight
 
-    def _find_why_unplaceable(self, exchange: Exchange) -> _NoPlacement | None:
-        """Return why no target will get the request in time, or None if one may."""
-        quarantine_ms = self._get_quarantine_ms(exchange)
-        if quarantine_ms > 0:
-            return _NoPlacement(
-                RefusalReason.QUARANTINED, "the request crashes targets", quarantine_ms
-            )
-        if not self._sender.may_reach(exchange.allowed_regions):
-            return _NoPlacement(
-                RefusalReason.TARGETS_UNREACHABLE,
-                "no instance reaches the targets",
-                choose_retry_after_ms(),
-            )
-        now_ms = self._clock.now_ms()
-        earliest_ms = self._dispatch_state.placer.find_earliest_send_ms(
-            exchange.service, exchange.allowed_regions, now_ms
-        )
-        if earliest_ms is None:
-            return _NoPlacement(
-                RefusalReason.NO_TARGET, "no usable target", choose_retry_after_ms()
-            )
-        if earliest_ms < exchange.deadline_ms:
-            return None
-        wait_ms = earliest_ms - now_ms
-        return _NoPlacement(
-            RefusalReason.TARGETS_PAUSED,
-            f"all targets are paused for {wait_ms} ms",
-            wait_ms + choose_retry_after_ms(),
-        )
-
-    def _get_quarantine_ms(self, exchange: Exchange) -> int:
-        if exchange.is_trial:
-            return 0
-        return self._routing_state.quarantines.get_remaining_ms(
-            exchange.outgoing.fingerprint, self._clock.now_ms()
-        )
-
-    def _may_still_send(self, exchange: Exchange, attempt: Attempt) -> bool:
-        """Return whether neither the target nor a quarantine forbids a send chosen before."""
-        if attempt.state.refuses_requests(self._clock.now_ms()):
-            return False
-        return self._get_quarantine_ms(exchange) == 0
-
     def _serve_soon(self, service: str) -> None:
         """Serve a queue now, or after the minimum interval between rounds if many requests wait."""
         if service in self._scheduled_services or not (queue := self._queues.get(service)):
@@ -328,11 +269,11 @@
 
     def _build_expired(
         self, waiter: Waiter[_QueuedRequest], queue: WaitQueue[_QueuedRequest], now_ms: int
-    ) -> _NoPlacement:
-        if self._is_bound_by_shutdown(waiter):
-            return _build_stopping()
+    ) -> NoPlacement:
+        if (stop := self._checks.find_stop(waiter.item[0])) is not None:
+            return stop
         targets = self._describe_targets(waiter.item[0].service, now_ms)
-        return _NoPlacement(
+        return NoPlacement(
             RefusalReason.NO_ROOM,
             f"{len(queue)} requests are waiting, {targets}",
             choose_retry_after_ms(waiter.expected_wait_ms),
@@ -349,17 +290,16 @@
         That can change only when the targets or quarantines change, when a target asks for a pause,
         or while this instance depends on peers to reach them.
         """
-        targets = self._routing_state.targets
-        version = (targets.version, targets.pauses, self._routing_state.quarantines.version)
+        version = self._checks.version
         is_judged = self._judged_versions.get(service) == version
         if is_judged and self._sender.reaches_directly():
             return
         self._judged_versions[service] = version
         for waiter in queue.list_waiting():
-            unplaceable = self._find_why_unplaceable(waiter.item[0])
-            if unplaceable is not None:
+            obstacle = self._checks.find_obstacle(waiter.item[0])
+            if obstacle is not None:
                 queue.remove(waiter)
-                _resolve(waiter.item[1], unplaceable)
+                _resolve(waiter.item[1], obstacle)
 
     def _place_waiter(
         self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
@@ -393,13 +333,7 @@
             leaves_headroom,
         )
         placements = self._dispatch_state.placer.choose(request, now_ms)
-        if self._ends_at_ms is not None:
-            left_ms = self._ends_at_ms - now_ms
-            placements = [
-                placement
-                for placement in placements
-                if placement.estimate_duration_ms(request.durations, now_ms) <= left_ms
-            ]
+        placements = self._checks.list_in_time(placements, request.durations, now_ms)
         return self._dispatch_state.try_start_attempt(
             placements, exchange.organisation, download_bytes, now_ms
         )
@@ -437,7 +371,9 @@
                 response_timeout_ms,
                 exchange.allowed_regions,
                 handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
-                may_still_send=lambda: may_send() and self._may_still_send(exchange, attempt),
+                may_still_send=lambda: (
+                    may_send() and self._checks.may_still_send(exchange, attempt)
+                ),
             )
         except BaseException:
             # The request may have been sent when its caller left or the process ends.
@@ -485,19 +421,6 @@
         )
 
 
-def _resolve(
-    future: asyncio.Future[Attempt | _NoPlacement], result: Attempt | _NoPlacement
-) -> None:
+def _resolve(future: asyncio.Future[Attempt | NoPlacement], result: Attempt | NoPlacement) -> None:
     if not future.done():
         future.set_result(result)
-
-
-def _build_stopping() -> _NoPlacement:
-    """Return that the process ends too soon; other instances may serve the request at once."""
-    return _NoPlacement(
-        RefusalReason.STOPPING, "the instance stops before a response", choose_retry_after_ms()
-    )
-
-
-def _refuse_placement(exchange: Exchange, result: _NoPlacement) -> Refusal:
-    return refuse(exchange, result.reason, Step.PLACE, result.detail, result.retry_after_ms)
--- /dev/null
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -0,0 +1,82 @@
+"""What instances tell each other of themselves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
+from waxwingshelf.steering.sent_demand import DemandAck
+
+__all__ = ["Heartbeat", "LoadReport", "PeerAddress"]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """The name, location and addresses of an instance, for its peers and for callers.
+
+    `collects_crashes` is set if the instance's build decides about requests that crash targets.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+    host: str
+    beat_port: int
+    state_port: int
+    caller_address: str
+    rate_port: int = 0
+    link_mbps: float = 0.0
+    collects_crashes: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A periodic message with the current state of its sender.
+
+    `demand` is in requests per second by organisation. It is empty in a large fleet, where rate
+    owners report their demand to each other. `boot` identifies the run of the sender's process; a
+    heartbeat is outdated if its (`boot`, `number`) is not greater than the last. `watching` is set
+    if the sender watches the store itself. `revision` and `era` are the position of the sender's
+    mirror of the store; `config_version` is the configuration that it uses, or 0. `brief` is set if
+    the sender reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat
+    whose demand the sender's shares use; None if the sender's build does not tell.
+    `reaches_targets` is False if the sender has lost its links to the targets, and None if its
+    build does not tell and does not send to targets for peers. `service_slots` is the demand of the
+    sender's callers, and `region_slots` that of all callers in the sender's region, in tenths of
+    slots by hash of the service; each is None if not told. See `steering.regional_demand`.
+    """
+
+    address: PeerAddress
+    boot: int
+    number: int
+    ready: bool
+    revision: int
+    demand: dict[str, float]
+    watching: bool = False
+    era: int = 0
+    config_version: int = 0
+    brief: bool = False
+    ack: DemandAck | None = None
+    reaches_targets: bool | None = None
+    # Not checked when decoded, so that a malformed value leaves the rest of the heartbeat usable.
+    service_slots: Any = None
+    region_slots: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The numbers of requests that an instance has in flight, by hash of the target id.
+
+    The report counts for `validity_ms`; an earlier build does not tell. `slowness` is what targets
+    told of their speed, in percent by hash of the target id. `organisations` holds the requests in
+    flight by hash of the service and the organisation.
+    """
+
+    name: str
+    boot: int
+    number: int
+    loads: dict[int, int]
+    validity_ms: int = DEFAULT_VALIDITY_MS
+    slowness: dict[int, int] = field(default_factory=dict)
+    organisations: dict[int, int] = field(default_factory=dict)
--- a/tests/serving/test_shutdown.py
+++ b/tests/serving/test_shutdown.py
@@ -215,7 +215,7 @@
 
     async def scenario(stop: Stop) -> None:
         await stop.start(work_s=0.0)
-        stop.instance._dispatcher._get_quarantine_ms = lambda exchange: 60_000
+        stop.instance._dispatcher._checks.get_quarantine_ms = lambda exchange: 60_000
         stop.instance._quarantine_keeper.try_begin_trial = _wait_forever
         await stop.send(1)
         await stop.stop()
