Teach the soak silent connections and callers that leave

Cause: two more faults of the review could not show in the soak: its connections never went silent while others worked, and no caller left while its large upload waited.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "DEADLY_TEXT",
+    "EXTRA_KEY",
     "GRACE_PERIOD_S",
     "HOST",
     "INSTANCES",
@@ -37,6 +38,8 @@
 TARGETS = 4
 DEADLY_TEXT = "deadly"
 GRACE_PERIOD_S = 4
+# A key that can be withdrawn.
+EXTRA_KEY = "extra-key"
 # The key and the limits of an organisation that asks for more than its rate.
 LIMITED_KEY = "limited-key"
 LIMITED_RATE_PER_S = 40
@@ -72,6 +75,7 @@
     config_version: int = 1
     entry_number: int = 0
     entry_states: dict[int, str] = field(default_factory=dict)
+    keys: list[str] = field(default_factory=lambda: ["key", EXTRA_KEY])
     started_ms: dict[int, int] = field(default_factory=dict)
     _runners: list[web.AppRunner] = field(default_factory=list)
     _store_proxies: list[Proxy] = field(default_factory=list)
@@ -173,7 +177,7 @@
             )
         ]
         tenants = [
-            {"name": "acme", "api_keys": ["key"], "rate_per_s": 5_000, "burst": 5_000},
+            {"name": "acme", "api_keys": self.keys, "rate_per_s": 5_000, "burst": 5_000},
             {
                 "name": "limited",
                 "api_keys": [LIMITED_KEY],
@@ -231,6 +235,11 @@
         self.config_version += 1
         self._put_config()
 
+    def withdraw_extra_key(self) -> None:
+        """Write a new version of the configuration without one of the keys."""
+        self.keys.remove(EXTRA_KEY)
+        self.change_config()
+
     def send_signal(self, process: Process, signal_number: int) -> None:
         """Send a signal that may end a process, if it runs."""
         if process.child is not None and process.child.poll() is None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,7 @@
 from standins.platform_target import ResponseMode
 from tests.soak.deployment import DEADLY_TEXT, HOST, INSTANCES, TARGETS, Process, SoakDeployment
 from tests.soak.proxy import LinkFault, Proxy
+from tests.soak.silences import check_departed_uploads, check_key_withdrawn_in_silence
 from tests.soak.stops import check_rate_after_restart, check_stop_while_requests_wait
 
 CLIENTS = 12
@@ -79,6 +80,8 @@
                 await self._run_fault_phase(session)
                 await self._check_recovery(session)
                 await self._check_deadly_request(session)
+                await check_key_withdrawn_in_silence(self, session)
+                await check_departed_uploads(self, session)
                 await check_stop_while_requests_wait(self, session)
                 await check_rate_after_restart(self, session)
                 await self._check_recovery(session)
@@ -110,6 +113,8 @@
         path: str = "",
         key: str = "key",
         deadline_ms: int = 2_000,
+        body: bytes | None = None,
+        may_refuse: bool = False,
     ) -> int:
         """Send a request and return its status, 0 for no response."""
         request_id = f"id-{len(self.statuses)}"
@@ -128,18 +133,18 @@
         method = "POST" if unsafe else "GET"
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(deadline_ms / 1_000 + 1.0):
-                async with session.request(method, url, headers=headers) as response:
-                    body = await response.read()
-                    self._record_response(request_id, response.status, body)
+                async with session.request(method, url, headers=headers, data=body) as response:
+                    content = await response.read()
+                    self._record_response(request_id, response.status, content, may_refuse)
         return self.statuses[request_id]
 
-    def _record_response(self, request_id: str, status: int, body: bytes) -> None:
+    def _record_response(self, request_id: str, status: int, body: bytes, may_refuse: bool) -> None:
         self.statuses[request_id] = status
         if status == 200 and body != f"answer to {request_id}".encode():
             self.add_violation(
                 "each client receives its own complete response", f"{request_id}: {body!r}"
             )
-        if status in (401, 403, 404):
+        if status in (401, 403, 404) and not may_refuse:
             self.add_violation(
                 "requests that the configuration allows are served", f"{request_id}: {status}"
             )
@@ -153,6 +158,7 @@
             self._inject_target_link_fault,
             self._inject_store_link_fault,
             self._cut_all_targets,
+            self._silence_connections,
             self._change_response_mode,
             self._remove_target,
             self._let_target_leave,
@@ -200,6 +206,13 @@
         proxy.set_fault(LinkFault.NONE)
         self.last_fault_s = time.monotonic()
 
+    async def _silence_connections(self) -> None:
+        """Let open connections go silent for good, while new ones work."""
+        self.last_fault_s = time.monotonic()
+        proxies = [self.deployment.store_proxy, self.rng.choice(self.deployment.target_proxies)]
+        self.rng.choice(proxies).silence_connections()
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+
     async def _cut_all_targets(self) -> None:
         """Let every instance lose its links to all targets."""
         self.last_fault_s = time.monotonic()
