End the reads from peers of a killed instance in the fleet on virtual time

Cause: Node.kill cancelled the instance's own tasks only. A read from a peer that is behind is a task of PeerNetwork, which the product cancels in PeerNetwork.close. Whether one is in progress at the end depends on the order of sets, and so on the hash seed of the Python process. Ruled out: the product (Instance._close closes the peer network), and load (virtual time).

Change: the harness closes the peer network of an instance that it kills.

Measured: tests/serving/test_restarting_fleet.py fails before (the same message) and passes now.

--- a/tests/serving/restarting_fleet.py
+++ b/tests/serving/restarting_fleet.py
@@ -249,10 +249,14 @@
         ]
 
     async def kill(self) -> None:
+        if not self.is_running:
+            return
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.tasks = []
+        # A read from a peer is a task of its own.
+        await self.network.close()
 
     def _build_settings(self) -> InstanceSettings:
         endpoint = Endpoint(self.host, 8124)
@@ -320,6 +324,9 @@
     def sendto(self, data: bytes, address: tuple[str, int]) -> None:
         self._simulation.send_datagram(self._host, address[0], data)
 
+    def close(self) -> None:
+        """Do nothing: datagrams on their way still arrive."""
+
 
 class RestartingFleet:
     """Instances that share the rate of one organisation, on virtual time."""
