Keep the buckets of organisations that a change takes out and another brings back

What callers would see: an organisation gets a whole burst and slack more each time the configuration loses its rule and has it again (rule QUOTA), so that others wait behind it.

Cause: DemandTracker dropped the bucket, demand and fallback bucket with the first configuration without the organisation. The next bucket began with what it gains since the start of the process, which is the whole burst.

Ruled out: the configuration's own order (an update between the two configurations is enough), other tables (retry budgets and cold targets are kept).

Change: they are kept for 60 s after the organisation has left, and forgotten together.

Measured: test_organisation_that_comes_back_gets_no_second_burst fails before and passes now; a second test keeps that what is gone is forgotten.

--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -27,6 +27,9 @@
 _MAX_UPDATE_GAP_MS = 1_000
 # In a large fleet, another instance may have owned a rate until this time before the first request.
 _HANDOVER_DURATION_MS = 100
+# An organisation that is taken out of the configuration may come back with the next change. Its
+# bucket is kept for this time, so that it does not begin anew.
+_KEEP_REMOVED_MS = 60_000
 # A share is logged when it differs from the last logged one by more than this factor.
 _LOGGED_SHARE_CHANGE = 1.25
 _log = structlog.get_logger("demand_tracker")
@@ -47,6 +50,8 @@
         self._buckets: dict[str, RateBucket] = {}
         self._fallback_buckets: dict[str, RateBucket] = {}
         self._logged_shares: dict[str, float] = {}
+        # Since when organisations with a bucket or demand have not been in the configuration.
+        self._removed_since_ms: dict[str, int] = {}
         self._started_ms = self._updated_ms = clock.now_ms()
 
     def list_demand_rates(self) -> dict[str, float]:
@@ -118,7 +123,7 @@
             rate = self._demand_rates.get(name, 0.0)
             self._demand_rates[name] = rate + weight * (measured - rate)
         self._request_counts.clear()
-        self._remove_unknown_organisations(routing_state)
+        self._remove_unknown_organisations(routing_state, now_ms)
         slack = self._compute_slack()
         for name, bucket in self._buckets.items():
             if elapsed_ms > _MAX_UPDATE_GAP_MS:
@@ -168,12 +173,22 @@
             return len(self._fleet.list_regions()) * MAX_OWNERS_ASKED
         return self._fleet.count_instances()
 
-    def _remove_unknown_organisations(self, routing_state: RoutingState) -> None:
+    def _remove_unknown_organisations(self, routing_state: RoutingState, now_ms: int) -> None:
+        """Forget the organisations that have been out of the configuration for long enough."""
         if routing_state.config is None:
             return
         known = routing_state.config.organisations
         tables = (self._buckets, self._demand_rates, self._fallback_buckets, self._logged_shares)
+        removed = set().union(*tables) - known.keys()
+        self._removed_since_ms = {
+            name: self._removed_since_ms.get(name, now_ms) for name in removed
+        }
+        forgotten = [
+            name
+            for name, since_ms in self._removed_since_ms.items()
+            if now_ms - since_ms >= _KEEP_REMOVED_MS
+        ]
         for table in tables:
-            for name in table.keys() - known.keys():
-                del table[name]
-        self._fleet.forget_organisations(known)
+            for name in forgotten:
+                table.pop(name, None)
+        self._fleet.forget_organisations(known.keys() | removed.difference(forgotten))
--- a/tests/serving/test_demand_tracker.py
+++ b/tests/serving/test_demand_tracker.py
@@ -51,3 +51,33 @@
     assert lines[0]["peers_per_s"] == 50.0
     assert lines[0]["oldest_ms"] == 250
     assert lines[0]["silent_peers"] == 0
+
+
+def test_organisation_that_comes_back_gets_no_second_burst() -> None:
+    """Guards against a limit that is counted anew when changes remove and restore its rule."""
+    clock = ManualClock()
+    rule = OrganisationRule("o", (), None, 20.0, 20.0)
+    tracker = DemandTracker(clock, Fleet("n0", 0, "north"), OwnerReports("n0", "north"), 20.0)
+    clock.advance(10_000)
+    admitted = 0
+    for step in range(50):
+        is_removed = step % 5 == 4
+        if not is_removed:
+            admitted += sum(tracker.try_acquire(rule) is not None for _ in range(40))
+        organisations = {} if is_removed else {"o": rule}
+        tracker.update(SimpleNamespace(config=SimpleNamespace(organisations=organisations)))
+        clock.advance(100)
+    # The platform's limit for these 5 seconds.
+    assert admitted <= (20 * 5 + 20) * 1.1 + 20
+
+
+def test_organisation_that_is_gone_for_good_is_forgotten() -> None:
+    """Guards against tables that grow with each organisation that ever had a rule."""
+    clock = ManualClock()
+    tracker = DemandTracker(clock, Fleet("n0", 0, "north"), OwnerReports("n0", "north"), 20.0)
+    tracker.try_acquire(OrganisationRule("o", (), None, 20.0, 20.0))
+    first = tracker.get_or_create_bucket(OrganisationRule("o", (), None, 20.0, 20.0))
+    for _ in range(120):
+        tracker.update(SimpleNamespace(config=SimpleNamespace(organisations={})))
+        clock.advance(1_000)
+    assert tracker.get_or_create_bucket(OrganisationRule("o", (), None, 20.0, 20.0)) is not first
