Keep what retry budgets have spent when the settings are reloaded

What callers would see: with each reload of changed settings (SIGHUP) an instance may retry its whole share of the slack again, so that services get more arrivals beyond the first than the platform allows (rule BUDGET).

Cause: DispatchState dropped all retry budgets to apply changed bounds; new ones begin full.

Change: RetryBudget.set_bounds changes ratio and slack and leaves the tokens in hand.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -98,9 +98,10 @@
         self.placer = Placer(locality, routing_state.targets, self.region_weights)
 
     def apply_settings(self, locality: Locality, bounds: Bounds) -> None:
-        """Apply changed settings; retry budgets restart with the changed bounds."""
+        """Apply changed settings."""
         self._bounds = bounds
-        self._retry_budgets.clear()
+        for budget in self._retry_budgets.values():
+            budget.set_bounds(bounds.retry_ratio, bounds.retry_slack)
         self.placer = Placer(locality, self._routing_state.targets, self.region_weights)
 
     def record_request(self, service: str) -> None:
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -162,13 +162,16 @@
     __slots__ = ("_limit", "_ratio", "_slack", "_tokens")
 
     def __init__(self, ratio: float, slack: float, instances: int) -> None:
-        self._ratio = ratio * _RETRY_RATIO_FRACTION
-        self._slack = slack * _RETRY_SLACK_FRACTION
-        self._limit = 0.0
-        self._tokens = 0.0
+        self._limit = self._tokens = 0.0
+        self.set_bounds(ratio, slack)
         self.set_instance_count(instances)
         self._tokens = self._limit
 
+    def set_bounds(self, ratio: float, slack: float) -> None:
+        """Set what all instances may retry; the tokens in hand stay."""
+        self._ratio = ratio * _RETRY_RATIO_FRACTION
+        self._slack = slack * _RETRY_SLACK_FRACTION
+
     def set_instance_count(self, instances: int) -> None:
         """Set the number of instances that share the slack; tokens beyond the share are dropped."""
         self._limit = max(1.0, self._slack / max(1, instances))
