--- a/tests/serving/target_links.py
+++ b/tests/serving/target_links.py
@@ -8,7 +8,6 @@
 from aiohappyeyeballs import AddrInfoType
 
 from tests.soak.proxy import LinkFault, Proxy
-from tools.processes import find_ports
 from waxwingshelf.serving.client_sessions import open_client_socket
 
 _HOST = "127.0.0.1"
@@ -43,6 +42,16 @@
         yield port
 
 
+def reserve_refusing_port() -> socket.socket:
+    """Return a socket whose port refuses connections, and which no server can take meanwhile.
+
+    It is bound but does not listen. Its port is not of the range in which `find_ports` looks.
+    """
+    reserved = socket.socket()
+    reserved.bind((_HOST, 0))
+    return reserved
+
+
 class _RedirectedSocket(socket.socket):
     """A socket that connects to the proxy of the address instead, if the links allow it."""
 
@@ -57,7 +66,7 @@
 
     def __init__(self, unresponsive_port: int) -> None:
         self._unresponsive_port = unresponsive_port
-        self._refused_port = find_ports(1)[0]
+        self._refusing_socket = reserve_refusing_port()
         self._proxies: dict[int, Proxy] = {}
         self._cut: Cut | None = None
 
@@ -75,7 +84,9 @@
     def find_port(self, port: int) -> int:
         if self._cut is None:
             return self._proxies[port].port
-        return self._unresponsive_port if self._cut is Cut.SILENT else self._refused_port
+        if self._cut is Cut.SILENT:
+            return self._unresponsive_port
+        return self._refusing_socket.getsockname()[1]
 
     def cut(self, cut: Cut) -> None:
         self._cut = cut
@@ -90,3 +101,4 @@
     def stop(self) -> None:
         for proxy in self._proxies.values():
             proxy.stop()
+        self._refusing_socket.close()
