--- a/tests/serving/lagging_fleet.py
+++ b/tests/serving/lagging_fleet.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from tests.serving.rate_window import SLACK, WINDOW_MS, compute_window_limit
 from waxwingshelf.core.clock import ManualClock
 from waxwingshelf.platform.settings import Bounds, Endpoint, InstanceSettings
 from waxwingshelf.serving.demand_tracker import DemandTracker
@@ -20,9 +21,6 @@
 from waxwingshelf.steering.fleet import Fleet
 from waxwingshelf.steering.owners import OwnerReports
 
-WINDOW_MS = 5_000
-OVERAGE = 0.1
-SLACK = 20.0
 TICK_MS = 10
 INTERVAL_MS = 250
 LINK_DELAY_MS = 55
@@ -160,7 +158,7 @@
 
     def find_worst_excess(self) -> float:
         """Return by how much the worst window exceeds the limit; negative if none does."""
-        limit = (self.rule.rate_per_s * WINDOW_MS / 1_000 + self.rule.burst) * (1 + OVERAGE) + SLACK
+        limit = compute_window_limit(self.rule.rate_per_s, self.rule.burst)
         ticks = WINDOW_MS // TICK_MS
         totals = [0, *itertools.accumulate(self.admitted)]
         counts = [totals[end] - totals[end - ticks] for end in range(ticks, len(totals))]
--- a/tests/serving/test_cold_targets_after_restarts.py
+++ b/tests/serving/test_cold_targets_after_restarts.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from tests.serving.restarting_fleet import Node, Outage, RestartingFleet, run_fleet
+from tests.serving.fake_store import Outage
+from tests.serving.restarting_fleet import Node, RestartingFleet, run_fleet
 
 COLD_PER_S = 14
 LIMIT_PER_S = COLD_PER_S * 1.5 + 5
--- a/tests/serving/test_member_list.py
+++ b/tests/serving/test_member_list.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.serving.restarting_fleet import Outage, RestartingFleet, run_fleet
+from tests.serving.fake_store import Outage
+from tests.serving.restarting_fleet import RestartingFleet, run_fleet
 from waxwingshelf.platform.documents import make_listed_member_key, parse_listed_member_name
 
 # An instance that is gone stays listed for a minute after its lease ended.
--- a/tests/serving/test_rate_after_restarts.py
+++ b/tests/serving/test_rate_after_restarts.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.serving.restarting_fleet import Outage, RestartingFleet, run_fleet
+from tests.serving.fake_store import Outage
+from tests.serving.restarting_fleet import RestartingFleet, run_fleet
 
 HOT = 8.0
 # Longer than the time to live of the instances' leases, from the kill to the end of the outage.
--- a/tests/serving/test_rate_under_partition.py
+++ b/tests/serving/test_rate_under_partition.py
@@ -14,15 +14,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tests.serving.rate_window import SLACK, WINDOW_MS, compute_window_limit
 from waxwingshelf.core.clock import ManualClock
 from waxwingshelf.serving.demand_tracker import DemandTracker
 from waxwingshelf.steering.config import OrganisationRule
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, PeerAddress
 from waxwingshelf.steering.owners import OwnerReports
 
-WINDOW_MS = 5_000
-OVERAGE = 0.1
-SLACK = 20.0
 TICK_MS = 50
 HEARTBEAT_MS = 250
 LEASE_TTL_MS = 6_000
@@ -120,7 +118,7 @@
 
     def find_worst_excess(self) -> float:
         """Return by how much the worst window exceeds the limit; negative if none does."""
-        limit = (self.rule.rate_per_s * WINDOW_MS / 1_000 + self.rule.burst) * (1 + OVERAGE) + SLACK
+        limit = compute_window_limit(self.rule.rate_per_s, self.rule.burst)
         ticks = WINDOW_MS // TICK_MS
         counts = [count for _, count in self.admitted]
         return max(sum(counts[start : start + ticks]) for start in range(len(counts))) - limit
