Let the soak wait for stops that began in its fault phase

Cause: the soak, not the product. The fault phase sent n1 a SIGTERM at 08:50:14.567; n1 served on as a stopping instance does, so the recovery check passed; it was stopped at 08:50:17.520, and nothing started it again until 08:50:35.961. Evidence: the log of n1 (stopping, stopped, started) and the store's change at 08:50:22.041 in the log of n0. Ruled out: a crash (n1 logged its stop, in_flight 0), connections cut by a stop (every one of the 160 was refused by the system, none was read).

Change: after the recovery check, the soak waits for processes that are stopping, at most their grace period, starts them again and checks the recovery once more. No check or bound is changed; a stop that outlasts its grace period is a violation of its own now.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -246,6 +246,14 @@
             process.expected_exit = True
             process.child.send_signal(signal_number)
 
+    def list_stopping(self) -> list[Process]:
+        """Return the processes that got a signal that ends them and still run."""
+        return [
+            process
+            for process in self.processes
+            if process.expected_exit and process.child is not None and process.child.poll() is None
+        ]
+
     def restart_exited(self) -> list[Process]:
         """Start the processes that have exited; return those that did so unexpectedly."""
         unexpected: list[Process] = []
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,15 @@
 import aiohttp
 
 from standins.platform_target import ResponseMode
-from tests.soak.deployment import DEADLY_TEXT, HOST, INSTANCES, TARGETS, Process, SoakDeployment
+from tests.soak.deployment import (
+    DEADLY_TEXT,
+    GRACE_PERIOD_S,
+    HOST,
+    INSTANCES,
+    TARGETS,
+    Process,
+    SoakDeployment,
+)
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.silences import check_departed_uploads, check_key_withdrawn_in_silence
 from tests.soak.stops import check_rate_after_restart, check_stop_while_requests_wait
@@ -79,6 +87,8 @@
                 await self._wait_until_served(session)
                 await self._run_fault_phase(session)
                 await self._check_recovery(session)
+                await self.finish_stops()
+                await self._check_recovery(session)
                 await self._check_deadly_request(session)
                 await check_key_withdrawn_in_silence(self, session)
                 await check_departed_uploads(self, session)
@@ -322,6 +332,20 @@
         for process in self.deployment.restart_exited():
             self.add_violation("no process exits unexpectedly", f"{process.name}: {process.log}")
 
+    async def finish_stops(self) -> None:
+        """Wait until the processes that are still stopping have exited, and start them again.
+
+        A stopping instance serves for a while, and so it looks as if it had recovered.
+        """
+        deadline_s = time.monotonic() + GRACE_PERIOD_S
+        while stopping := self.deployment.list_stopping():
+            if time.monotonic() > deadline_s:
+                names = ", ".join(process.name for process in stopping)
+                self.add_violation("a planned stop ends within its grace period", names)
+                return
+            await asyncio.sleep(0.1)
+        self.restart_exited()
+
     async def _wait_until_served(self, session: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(RECOVERY_S):
             for process in self.deployment.processes:
