--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,13 +12,6 @@
 DRAIN_LIMIT_MS = 300
 
 
-async def send_order(fleet: LoopbackFleet, request_id: str) -> Any:
-    headers = {"Idempotency-Key": request_id}
-    return await fleet.send_request(
-        "n0", "POST", "/s/orders/x", "acme", headers=headers, data=b"{}"
-    )
-
-
 async def read_web(fleet: LoopbackFleet) -> Any:
     return await fleet.send_request("n0", "GET", "/s/web/x", "acme")
 
@@ -62,7 +55,7 @@
     async def body(fleet: LoopbackFleet) -> None:
         occupy_targets(fleet)
         ids = [await fleet.build_request_id(f"order-{number}") for number in range(REQUESTS)]
-        tasks = [asyncio.create_task(send_order(fleet, request_id)) for request_id in ids]
+        tasks = [asyncio.create_task(fleet.send_order("n0", request_id)) for request_id in ids]
         await asyncio.sleep(0.3)
         running = [request_id for request_id in ids if count_runs(fleet, request_id)]
         assert 0 < len(running) < REQUESTS
