--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -13,7 +13,11 @@
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
 from waxwingshelf.platform.target_responses import decode_idle_timeout
-from waxwingshelf.serving.response_buffer import BoundedResponseHandler
+from waxwingshelf.serving.response_buffer import (
+    UNKNOWN_USE,
+    BoundedResponseHandler,
+    ConnectionUse,
+)
 
 __all__ = [
     "CheckedRequest",
@@ -48,6 +52,7 @@
 
     `started_ms` is when the send began to look for a connection. `abandoned` is set if the send was
     ended before its time. `is_idempotent` requests may be sent again although writing has begun.
+    `use` tells which connection carries the request.
     """
 
     may_still_send: Callable[[], bool]
@@ -56,6 +61,7 @@
     is_idempotent: bool
     begun: bool = False
     abandoned: bool = False
+    use: ConnectionUse = UNKNOWN_USE
 
 
 # The progress of the request that the current task sends.
@@ -81,7 +87,7 @@
         if isinstance(protocol, BoundedResponseHandler):
             if protocol.is_idle_too_long(_clock.now_ms(), progress.is_idempotent):
                 raise IdleConnectionError
-            protocol.end_idle()
+            progress.use = protocol.begin_use()
         if not progress.may_still_send():
             raise SendWithdrawnError
         if progress.deadline_ms is not None:
--- a/src/waxwingshelf/serving/relay.py
+++ b/src/waxwingshelf/serving/relay.py
@@ -4,6 +4,7 @@
 
 import sys
 
+import structlog
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -33,6 +34,7 @@
 _DEFAULT_TIMEOUT_MS = 30_000
 # The peer waits for a response that the target sent just before the deadline.
 _RESPONSE_TRANSIT_MS = 120
+_log = structlog.get_logger("relay")
 
 
 class RelayEndpoint:
@@ -81,6 +83,7 @@
         except RequestInterruptedError:
             kind = FailureKind.BROKEN if outgoing.begun else FailureKind.UNREACHABLE
             result = SendFailure(kind, target_id, "stopping")
+        _log_result(outgoing, result)
         if isinstance(result, SendFailure):
             self._metrics.relays.labels("served", result.kind.value).inc()
             return _build_failure_response(request, result)
@@ -138,6 +141,18 @@
     )
 
 
+def _log_result(outgoing: OutgoingRequest, result: UpstreamResponse | SendFailure) -> None:
+    """Log what a peer is told of a request; `begun` says that a part of it may be at the target."""
+    _log.info(
+        "relayed",
+        request=outgoing.request_id,
+        target=result.target_id,
+        result=result.kind.value if isinstance(result, SendFailure) else result.status,
+        detail=result.detail if isinstance(result, SendFailure) else str(result.use),
+        begun=outgoing.begun,
+    )
+
+
 def _build_failure_response(request: web.BaseRequest, failure: SendFailure) -> web.Response:
     headers: CIMultiDict[str] = encode_relay_failure(failure)
     request_id = request.headers.get(REQUEST_ID_HEADER, "")
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,7 +15,14 @@
 
 from waxwingshelf.steering.response_room import ResponseRoom, compute_budget_bytes, is_large
 
-__all__ = ["BoundedResponseHandler", "ResponseBuffer", "ResponseHold", "ResponseLimitError"]
+__all__ = [
+    "UNKNOWN_USE",
+    "BoundedResponseHandler",
+    "ConnectionUse",
+    "ResponseBuffer",
+    "ResponseHold",
+    "ResponseLimitError",
+]
 
 # Heads, interim responses and late responses to other requests, until the awaited head is read.
 _MAX_UNMATCHED_BYTES = 1024 * 1024
@@ -32,9 +40,32 @@
     """A target sent more bytes than a response may have."""
 
 
+_connection_numbers = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """The connection that carried a request, for logs.
+
+    `connection` numbers the connections of this process; `request` is 1 for the first request on a
+    connection.
+    """
+
+    connection: int = 0
+    request: int = 0
+
+    def __str__(self) -> str:
+        return f"connection {self.connection}, request {self.request}"
+
+
+UNKNOWN_USE = ConnectionUse()
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A client connection that is reset if it brings too many bytes outside awaited bodies."""
 
+    _number = 0
+    _requests = 0
     _unmatched_bytes = 0
     _unmatched_heads = 0
     _in_body = False
@@ -47,9 +78,12 @@
         if idle_timeout_ms is not None:
             self._idle_timeout_ms = idle_timeout_ms - _IDLE_MARGIN_MS
 
-    def end_idle(self) -> None:
-        """Record that a request uses the connection."""
+    def begin_use(self) -> ConnectionUse:
+        """Record that a request uses the connection, and return which use this is."""
         self._idle_since_ms = None
+        self._number = self._number or next(_connection_numbers)
+        self._requests += 1
+        return ConnectionUse(self._number, self._requests)
 
     def is_idle_too_long(self, now_ms: int, is_idempotent: bool) -> bool:
         """Return whether the peer may have closed the connection, or be about to.
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from waxwingshelf.serving.bodies import StreamedBody
-from waxwingshelf.serving.response_buffer import ResponseHold
+from waxwingshelf.serving.response_buffer import UNKNOWN_USE, ConnectionUse, ResponseHold
 
 __all__ = [
     "FailureKind",
@@ -69,12 +69,13 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamResponse:
-    """The complete response of a target."""
+    """The complete response of a target, and the connection on which it came."""
 
     target_id: str
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
+    use: ConnectionUse = UNKNOWN_USE
 
     @property
     def is_failure(self) -> bool:
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -242,7 +242,7 @@
             return SendFailure(FailureKind.BROKEN, target.id, repr(error))
         finally:
             request.begun = progress.begun
-        return UpstreamResponse(target.id, response.status, response.headers, body)
+        return UpstreamResponse(target.id, response.status, response.headers, body, progress.use)
 
     async def _read_body(self, response: aiohttp.ClientResponse, request: OutgoingRequest) -> bytes:
         try:
@@ -317,10 +317,12 @@
         return response
     headers = response.headers
     if response.status == MISDIRECTED_REQUEST:
-        detail = f"response from {headers.get(RESPONDING_TARGET_HEADER, 'another target')}"
+        sender = headers.get(RESPONDING_TARGET_HEADER, "another target")
+        detail = f"response from {sender} on {response.use}"
         return SendFailure(FailureKind.WRONG_TARGET, target.id, detail)
     if NOT_RUN_HEADER in headers:
-        return SendFailure(FailureKind.SHED, target.id, f"status {response.status}")
+        detail = f"status {response.status} on {response.use}"
+        return SendFailure(FailureKind.SHED, target.id, detail)
     if headers.get(REQUEST_ID_HEADER) != request.request_id:
         return SendFailure(FailureKind.CROSSED, target.id, "response without the id of the request")
     if SIGNATURE_HEADER not in headers:
--- a/tests/serving/test_idle_connections.py
+++ b/tests/serving/test_idle_connections.py
@@ -34,7 +34,7 @@
         connection = BoundedResponseHandler(asyncio.get_running_loop())
         connection.begin_idle(100, named_ms)
         assert connection.is_idle_too_long(100 + idle_ms, is_idempotent) is too_long
-        connection.end_idle()
+        connection.begin_use()
         assert not connection.is_idle_too_long(100 + idle_ms, is_idempotent)
 
     asyncio.run(main())
@@ -46,7 +46,7 @@
     async def main() -> None:
         connection = BoundedResponseHandler(asyncio.get_running_loop())
         connection.begin_idle(0, 1_000)
-        connection.end_idle()
+        connection.begin_use()
         connection.begin_idle(100, None)
         assert connection.is_idle_too_long(600, True)
 
