Compare what callers were told with what ran, under overload, stalls and lost links

Cause: the soak compared refused ids with runs, but with 12 callers of 4 instances, few refusals, and targets that never rejected again late or restarted under a new id at their address.

The stand-in of a target has slots, a queue and deadlines, repeats rejections late, restarts under a new id, and keeps every arrival with its connection. Links of single instances to all targets can be cut; instances can run the sources of other builds.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -9,12 +9,15 @@
 import contextlib
 import socket
 import struct
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["PlatformTargetStandIn", "ResponseMode"]
+__all__ = ["Arrival", "PlatformTargetStandIn", "ResponseMode"]
 
+_MS_PER_S = 1_000
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -46,6 +49,16 @@
     ENDLESS_OTHERS = "endless_others"
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that arrived, the number of its connection, and whether it ran."""
+
+    request_id: str
+    target_id: str
+    connection: int
+    ran: bool
+
+
 class PlatformTargetStandIn:
     """Serve requests one at a time on each connection.
 
@@ -53,14 +66,19 @@
 
     Response bodies are filled up to `body_bytes` for paths that contain `large_path`.
 
-    `runs` counts executions by request id. `abandoned_requests` lists the ids of requests whose
-    caller sent more data or disconnected while they ran. Responses name `limit_per_s` if it is set,
-    and say that the target is leaving if `leaving` is set. Shed requests name `pause_s` if it is
-    set. Responses report `percent` as the current duration of work if it is set. A request whose
-    path contains `deadly_text` crashes the target, which listens again after `restart_delay_s`.
-    Before each response, the target sends `foreign_responses`, which belong to other requests, and
-    a second copy of the response before if `repeats_late` is set; after them it pauses for
-    `foreign_pause_s`. `on_crash` and `on_restart` are called with each crash.
+    If `slots` is set, so many requests run at a time and `queue_length` more wait. Further ones,
+    and those that still wait at their deadline, are rejected; a run that reaches it ends with 504.
+
+    `runs` counts executions by request id, and `arrivals` has every request. `abandoned_requests`
+    lists the ids of requests whose caller sent more data or disconnected while they ran. Responses
+    name `limit_per_s` if it is set, and say that the target is leaving if `leaving` is set. Shed
+    requests name `pause_s` if it is set. Responses report `percent` as the current duration of work
+    if it is set. A request whose path contains `deadly_text` crashes the target, which listens
+    again after `restart_delay_s`. Before each response, the target sends `foreign_responses`, which
+    belong to other requests, and a second copy of the response before if `repeats_late` is set;
+    after them it pauses for `foreign_pause_s`. With `repeats_rejections`, a second copy of a
+    rejection is sent as soon as the next request arrives on its connection. `on_crash` and
+    `on_restart` are called with each crash.
     """
 
     def __init__(self, target_id: str, work_s: float = 0.0) -> None:
@@ -78,6 +96,9 @@
         self.foreign_responses: list[bytes] = []
         self.foreign_pause_s = 0.0
         self.repeats_late = False
+        self.repeats_rejections = False
+        self.slots: int | None = None
+        self.queue_length = 0
         self.crashes = 0
         self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], Awaitable[None]] = _do_nothing
@@ -87,6 +108,11 @@
         self.request_bodies: list[bytes] = []
         self.abandoned_requests: list[str] = []
         self.connections = 0
+        self.arrivals: list[Arrival] = []
+        self._running = 0
+        self._waiting: list[asyncio.Future[None]] = []
+        self._rejections: dict[asyncio.StreamWriter, bytes] = {}
+        self._connection_numbers: dict[asyncio.StreamWriter, int] = {}
         self._server: asyncio.Server | None = None
         self._last_responses: dict[asyncio.StreamWriter, bytes] = {}
         self._writers: set[asyncio.StreamWriter] = set()
@@ -118,6 +144,12 @@
         self.on_crash()
         self._restart = asyncio.create_task(self._listen_again())
 
+    def restart_as(self, target_id: str) -> None:
+        """Restart at once under another id, at the same address."""
+        self.id = target_id
+        for writer in list(self._writers):
+            _reset_connection(writer)
+
     async def _listen_again(self) -> None:
         await asyncio.sleep(self.restart_delay_s)
         await self.start(self._host)
@@ -127,12 +159,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._connection_numbers[writer] = self.connections
         self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while await self._handle_request(reader, writer):
                 pass
         self._writers.discard(writer)
-        self._last_responses.pop(writer, None)
+        for by_connection in (self._last_responses, self._rejections, self._connection_numbers):
+            by_connection.pop(writer, None)
         writer.close()
 
     async def _handle_request(
@@ -148,23 +182,74 @@
         self.request_heads.append((request_line, headers))
         self.request_bodies.append(body)
         request_id = headers.get("attempt-id", "")
+        if self.repeats_rejections and (rejection := self._rejections.pop(writer, None)):
+            writer.write(rejection)
         if headers.get("expected-instance", self.id) != self.id:
-            headers_of_421 = [f"Instance-Id: {self.id}", *self._list_own_headers()]
-            writer.write(_build_response(421, request_id, b"", headers_of_421))
+            self._reject(writer, 421, request_id, [f"Instance-Id: {self.id}"])
             return True
         if self.response_mode is ResponseMode.SHED:
-            shed_headers = ["Not-Executed: 1", *self._list_own_headers()]
-            if self.pause_s is not None:
-                shed_headers.append(f"Retry-After: {self.pause_s}")
-            writer.write(_build_response(503, request_id, b"", shed_headers))
+            pause = [] if self.pause_s is None else [f"Retry-After: {self.pause_s}"]
+            self._reject(writer, 503, request_id, ["Not-Executed: 1", *pause])
             return True
+        deadline_s = time.monotonic() + float(headers.get("deadline-ms", "60000")) / _MS_PER_S
+        if not await self._take_slot(deadline_s):
+            self._reject(writer, 503, request_id, ["Not-Executed: 1"])
+            return True
+        try:
+            return await self._run(reader, writer, request_id, request_line, deadline_s)
+        finally:
+            self._return_slot()
+
+    def _reject(
+        self, writer: asyncio.StreamWriter, status: int, request_id: str, headers: list[str]
+    ) -> None:
+        self._record_arrival(writer, request_id, ran=False)
+        rejection = _build_response(status, request_id, b"", [*headers, *self._list_own_headers()])
+        self._rejections[writer] = rejection
+        writer.write(rejection)
+
+    def _record_arrival(self, writer: asyncio.StreamWriter, request_id: str, ran: bool) -> None:
+        connection = self._connection_numbers[writer]
+        self.arrivals.append(Arrival(request_id, self.id, connection, ran))
+
+    async def _take_slot(self, deadline_s: float) -> bool:
+        """Take a slot, if there is one for the request before its deadline."""
+        if self.slots is None or self._running < self.slots:
+            self._running += 1
+            return True
+        if len(self._waiting) >= self.queue_length:
+            return False
+        granted = asyncio.get_running_loop().create_future()
+        self._waiting.append(granted)
+        await asyncio.wait([granted], timeout=max(0.0, deadline_s - time.monotonic()))
+        if granted.done():
+            return True
+        self._waiting.remove(granted)
+        return False
+
+    def _return_slot(self) -> None:
+        if self._waiting:
+            self._waiting.pop(0).set_result(None)
+        else:
+            self._running -= 1
+
+    async def _run(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request_id: str,
+        request_line: str,
+        deadline_s: float,
+    ) -> bool:
         self.runs[request_id] += 1
+        self._record_arrival(writer, request_id, ran=True)
         if self.deadly_text is not None and self.deadly_text in request_line:
             self.crash()
             return False
         if self.work_s:
             disconnect_read = asyncio.create_task(reader.read(1))
-            done, _ = await asyncio.wait([disconnect_read], timeout=self.work_s)
+            left_s = max(0.0, deadline_s - time.monotonic())
+            done, _ = await asyncio.wait([disconnect_read], timeout=min(self.work_s, left_s))
             if done:
                 # The read fails if the caller reset the connection; a reset counts as a disconnect.
                 disconnect_read.exception()
@@ -173,6 +258,9 @@
             disconnect_read.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await disconnect_read
+            if left_s < self.work_s:
+                writer.write(_build_response(504, request_id, b"", ["Server-Signature: ok"]))
+                return True
         return await self._send_response(writer, request_id, request_line)
 
     def _list_own_headers(self) -> list[str]:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,6 +15,7 @@
 
 from standins.platform_store import PlatformStoreStandIn
 from standins.platform_target import PlatformTargetStandIn
+from tests.soak.bound_instance import HOST_VARIABLE
 from tests.soak.proxy import Proxy
 from tools.processes import find_ports
 
@@ -36,6 +37,8 @@
 REGIONS = {"north-1": "north", "south-1": "south"}
 INSTANCES = 4
 TARGETS = 4
+# Instances that each instance knows from its settings.
+SEEDS = 4
 DEADLY_TEXT = "deadly"
 GRACE_PERIOD_S = 4
 # A key that can be withdrawn.
@@ -63,15 +66,20 @@
 class SoakDeployment:
     """A store and targets behind proxies, and processes that are signalled only here.
 
-    `entry_states` has the state of each target's entry that should be in the store, `started_ms`
-    the start of each target that has restarted.
+    `module` runs an instance; `source_folders` has the sources of instances by their number, where
+    they differ from this checkout's. `entry_states` has the state of each target's entry that
+    should be in the store, `started_ms` the start of each target that has restarted.
     """
 
     folder: Path
+    instances: int = INSTANCES
+    target_count: int = TARGETS
+    module: str = "waxwingshelf.serving"
     store: PlatformStoreStandIn = field(default_factory=PlatformStoreStandIn)
     targets: list[PlatformTargetStandIn] = field(default_factory=list)
     target_proxies: list[Proxy] = field(default_factory=list)
     processes: list[Process] = field(default_factory=list)
+    source_folders: dict[int, Path] = field(default_factory=dict)
     config_version: int = 1
     entry_number: int = 0
     entry_states: dict[int, str] = field(default_factory=dict)
@@ -94,7 +102,7 @@
         self._tasks.append(asyncio.create_task(self.store.run()))
         await self._start_targets()
         self.change_config()
-        for number in range(INSTANCES):
+        for number in range(self.instances):
             self._add_instance(number, ports)
 
     async def stop(self) -> None:
@@ -113,7 +121,7 @@
             await runner.cleanup()
 
     async def _start_targets(self) -> None:
-        for number in range(TARGETS):
+        for number in range(self.target_count):
             target = PlatformTargetStandIn(f"t{number}", work_s=0.02)
             await target.start(HOST)
             proxy = Proxy(HOST, target.port)
@@ -131,7 +139,7 @@
         self.entry_states[number] = state
         zone = list(REGIONS)[number % len(REGIONS)]
         self.store.put(
-            f"servers/t{number}",
+            f"servers/{self.targets[number].id}",
             {
                 "address": f"{HOST}:{self.target_proxies[number].port}",
                 "information": {"service": "work", "zone": zone, "slots": 8},
@@ -148,12 +156,12 @@
     def deregister(self, number: int) -> None:
         """Remove a target's entry."""
         self.entry_states.pop(number, None)
-        self.store.delete(f"servers/t{number}")
+        self.store.delete(f"servers/{self.targets[number].id}")
 
     def write_again(self) -> None:
         """Let the operators and the targets write what the store may have lost."""
         self._put_config()
-        for number in range(TARGETS):
+        for number in range(self.target_count):
             if number in self.entry_states:
                 self.register(number, self.entry_states[number])
             else:
@@ -194,7 +202,7 @@
         host = f"127.0.7.{number + 1}"
         zone = list(REGIONS)[number % len(REGIONS)]
         settings = self.folder / f"n{number}.toml"
-        seeds = ", ".join(f'"127.0.7.{other + 1}:{ports[3]}"' for other in range(INSTANCES))
+        seeds = ", ".join(f'"127.0.7.{other + 1}:{ports[3]}"' for other in range(SEEDS))
         zones = "\n".join(f'{name} = "{region}"' for name, region in REGIONS.items())
         settings.write_text(f"""[self]
 node_name = "n{number}"
@@ -221,10 +229,15 @@
 
     def _start(self, process: Process) -> None:
         process.expected_exit = False
-        environment = {"PYTHONPATH": "src", "WAXWINGSHELF_SETTINGS": str(process.settings)}
+        sources = self.source_folders.get(int(process.name.removeprefix("n")), Path("src"))
+        environment = {
+            "PYTHONPATH": f"{sources}{os.pathsep}.",
+            "WAXWINGSHELF_SETTINGS": str(process.settings),
+            HOST_VARIABLE: process.host,
+        }
         with process.log.open("ab") as log:
             process.child = subprocess.Popen(
-                [sys.executable, "-m", "waxwingshelf.serving"],
+                [sys.executable, "-m", self.module],
                 env={**os.environ, **environment},
                 stdout=log,
                 stderr=log,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -40,6 +40,7 @@
         self._silent: set[asyncio.StreamWriter] = set()
         self._healed = asyncio.Event()
         self.fault = LinkFault.NONE
+        self._cut_hosts: dict[str, LinkFault] = {}
         self.port = 0
 
     async def start(self, host: str) -> None:
@@ -64,6 +65,14 @@
             for writer in list(self._writers):
                 _reset_connection(writer)
 
+    def cut_host(self, host: str, fault: LinkFault) -> None:
+        """Set a fault, SILENT or RESET, of the connections that come from one address only."""
+        self._cut_hosts[host] = fault
+        if fault is LinkFault.RESET:
+            for writer in list(self._writers):
+                if _get_source(writer) == host:
+                    _reset_connection(writer)
+
     def silence_connections(self) -> None:
         """Let all open connections go silent for good; new ones work."""
         self._silent |= self._writers
@@ -78,7 +87,8 @@
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.fault is LinkFault.RESET:
+        host = _get_source(writer)
+        if LinkFault.RESET in (self.fault, self._cut_hosts.get(host)):
             _reset_connection(writer)
             return
         try:
@@ -90,8 +100,12 @@
             return
         writers = (writer, destination_writer)
         self._writers.update(writers)
-        forward_task = asyncio.create_task(self._relay(reader, destination_writer, forward=True))
-        backward_task = asyncio.create_task(self._relay(destination_reader, writer, forward=False))
+        forward_task = asyncio.create_task(
+            self._relay(reader, destination_writer, host, forward=True)
+        )
+        backward_task = asyncio.create_task(
+            self._relay(destination_reader, writer, host, forward=False)
+        )
         await asyncio.wait([forward_task, backward_task], return_when=asyncio.FIRST_COMPLETED)
         for task in (forward_task, backward_task):
             task.cancel()
@@ -101,13 +115,18 @@
             end.transport.abort()
 
     async def _relay(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, forward: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        host: str,
+        forward: bool,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(_CHUNK_BYTES):
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(_DELAY_S)
-                is_silent = self.fault is LinkFault.SILENT or writer in self._silent
+                is_silent = LinkFault.SILENT in (self.fault, self._cut_hosts.get(host))
+                is_silent = is_silent or writer in self._silent
                 if is_silent or (self.fault is LinkFault.ONE_WAY and not forward):
                     # A connection stays silent after the fault ends; only new connections work.
                     await asyncio.sleep(_SILENCE_S)
@@ -116,6 +135,12 @@
                 await writer.drain()
 
 
+def _get_source(writer: asyncio.StreamWriter) -> str:
+    """Return the address that a connection comes from; empty if it has been closed."""
+    peer = writer.get_extra_info("peername")
+    return peer[0] if peer else ""
+
+
 def _reset_connection(writer: asyncio.StreamWriter) -> None:
     with contextlib.suppress(OSError, AttributeError):
         raw_socket = writer.get_extra_info("socket")
