--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import struct
 import time
@@ -191,7 +192,9 @@
             pause = [] if self.pause_s is None else [f"Retry-After: {self.pause_s}"]
             self._reject(writer, 503, request_id, ["Not-Executed: 1", *pause])
             return True
-        deadline_s = time.monotonic() + float(headers.get("deadline-ms", "60000")) / _MS_PER_S
+        deadline_s = math.inf
+        if self.slots is not None:
+            deadline_s = time.monotonic() + float(headers.get("deadline-ms", "inf")) / _MS_PER_S
         if not await self._take_slot(deadline_s):
             self._reject(writer, 503, request_id, ["Not-Executed: 1"])
             return True
