Send no request twice on one connection

What callers saw: a refusal (503) of an order that ran (REFUSED).

Cause: responses are matched by the id of the request, and the id cannot tell two sends of one request apart. After a rejection (421, or a target without room) the request is sent again, and its next target may be at the same address: it restarted under a new id, or it was not excluded. The send then uses the pooled connection of the first one. A second copy of the rejection that comes there late has the right id, is believed, and the caller is told that nothing ran while the target runs the request.

Change: a connection remembers, until its deadline, each request that may be sent again after the response it brought (a rejection or a failure). Such a request does not use the connection again; the pool chooses another or opens one. Beyond 64 the connection is closed instead of forgetting. This holds for peers as well, which know nothing of earlier sends: the memory is the connection's.

Cost: a connection for each such second send, none otherwise.

--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -12,7 +12,7 @@
 
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
-from waxwingshelf.platform.target_responses import decode_idle_timeout
+from waxwingshelf.platform.target_responses import decode_idle_timeout, may_be_sent_again
 from waxwingshelf.serving.response_buffer import (
     UNKNOWN_USE,
     BoundedResponseHandler,
@@ -22,10 +22,10 @@
 __all__ = [
     "CheckedRequest",
     "ForeignResponsesError",
-    "IdleConnectionError",
     "MatchedResponse",
     "SendProgress",
     "SendWithdrawnError",
+    "UnusableConnectionError",
     "abort_connection",
     "set_progress",
 ]
@@ -34,8 +34,11 @@
 _clock = SystemClock()
 
 
-class IdleConnectionError(aiohttp.ClientError):
-    """The target may be about to close the connection that the pool chose."""
+class UnusableConnectionError(aiohttp.ClientError):
+    """The connection that the pool chose must not carry the request.
+
+    The target may be about to close it, or it carried the request before.
+    """
 
 
 class ForeignResponsesError(aiohttp.ClientError):
@@ -81,12 +84,14 @@
     """A request that checks its permission again once it has a connection."""
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
-        """Write the request, or raise `SendWithdrawnError` or `IdleConnectionError`."""
+        """Write the request, or raise `SendWithdrawnError` or `UnusableConnectionError`."""
         progress = _progress.get()
         protocol = conn.protocol
         if isinstance(protocol, BoundedResponseHandler):
             if protocol.is_idle_too_long(_clock.now_ms(), progress.is_idempotent):
-                raise IdleConnectionError
+                raise UnusableConnectionError
+            if protocol.has_answered(self.headers.get(REQUEST_ID_HEADER, "")):
+                raise UnusableConnectionError
             progress.use = protocol.begin_use()
         if not progress.may_still_send():
             raise SendWithdrawnError
@@ -141,6 +146,8 @@
             await super().start(connection)
             echoed_id = self.headers.get(REQUEST_ID_HEADER)
             if echoed_id is None or echoed_id == expected_id:
+                if expected_id is not None and may_be_sent_again(self.status, self.headers):
+                    _remember_request(connection, expected_id)
                 return
             while await self.content.readany():
                 pass
@@ -182,6 +189,12 @@
             connection.protocol.set_in_body(in_body)
 
 
+def _remember_request(connection: aiohttp.connector.Connection, request_id: str) -> None:
+    if isinstance(connection.protocol, BoundedResponseHandler):
+        deadline_ms = _progress.get().deadline_ms
+        connection.protocol.remember(request_id, deadline_ms, _clock.now_ms())
+
+
 def abort_connection(connection: aiohttp.connector.Connection) -> None:
     """Reset a connection, so that data not yet delivered is discarded.
 
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -32,6 +32,8 @@
 _IDLE_MARGIN_MS = 500
 # For a body without a known length, bytes are held in parts of this size.
 _PART_BYTES = 65_536
+# A connection that would have to remember more requests is closed after the response.
+_MAX_REMEMBERED_IDS = 64
 # `_MAX_UNMATCHED_BYTES` hold some 40,000 interim responses, which take a second to handle.
 _MAX_UNMATCHED_HEADS = 64
 
@@ -62,7 +64,13 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """A client connection that is reset if it brings too many bytes outside awaited bodies."""
+    """A client connection that is reset if it brings too many bytes outside awaited bodies.
+
+    It remembers the requests that may be sent again after its response. A request id tells the
+    responses to different requests apart, not those to two sends of one request, so that such a
+    request must not use the same connection again: a late second copy of the first response would
+    be taken for the second one.
+    """
 
     _number = 0
     _requests = 0
@@ -71,6 +79,8 @@
     _in_body = False
     _idle_since_ms: int | None = None
     _idle_timeout_ms = _DEFAULT_IDLE_TIMEOUT_MS
+    # The deadlines, as clock readings, of the remembered requests by their id; None if unknown.
+    _remembered_ids: dict[str, int | None] | None = None
 
     def begin_idle(self, now_ms: int, idle_timeout_ms: int | None) -> None:
         """Record that the connection is idle, and its peer's idle timeout if it is known."""
@@ -85,6 +95,20 @@
         self._requests += 1
         return ConnectionUse(self._number, self._requests)
 
+    def remember(self, request_id: str, deadline_ms: int | None, now_ms: int) -> None:
+        """Record that a request, which may be sent again until its deadline, has been answered."""
+        ids = self._remembered_ids or {}
+        if len(ids) >= _MAX_REMEMBERED_IDS:
+            ids = {key: end for key, end in ids.items() if end is None or end > now_ms}
+        if len(ids) >= _MAX_REMEMBERED_IDS:
+            self.force_close()
+        ids[request_id] = deadline_ms
+        self._remembered_ids = ids
+
+    def has_answered(self, request_id: str) -> bool:
+        """Return whether the connection brought a response to an earlier send of a request."""
+        return self._remembered_ids is not None and request_id in self._remembered_ids
+
     def is_idle_too_long(self, now_ms: int, is_idempotent: bool) -> bool:
         """Return whether the peer may have closed the connection, or be about to.
 
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -23,10 +23,10 @@
 from waxwingshelf.serving.client_exchange import (
     CheckedRequest,
     ForeignResponsesError,
-    IdleConnectionError,
     MatchedResponse,
     SendProgress,
     SendWithdrawnError,
+    UnusableConnectionError,
     set_progress,
 )
 from waxwingshelf.serving.client_sessions import (
@@ -280,7 +280,7 @@
 async def _request(
     session: aiohttp.ClientSession, request: OutgoingRequest, url: URL
 ) -> AsyncIterator[aiohttp.ClientResponse]:
-    """Send a request on a connection that the target has not announced to close by now."""
+    """Send a request on the first connection that may carry it."""
     while True:
         try:
             response = await session.request(
@@ -292,7 +292,7 @@
                 skip_auto_headers=_SKIPPED_AUTO_HEADERS,
             )
             break
-        except IdleConnectionError:
+        except UnusableConnectionError:
             # The connection is closed; the pool chooses another or opens one.
             continue
     async with response:
