Believe a rejection only if it names the request

What callers may see: a refusal (503) of an order that ran (REFUSED).

Cause: a response 421, and any with the header for "not run", was believed before its request id was compared, also without one. Such bytes may belong to another request on the connection or to none.

Change: the id is compared first. Only a request that has no id itself is rejected by a response without one. Other responses without the id end the send as crossed, as before: 502 for what must not run twice, another try for the rest.

--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -316,6 +316,10 @@
     if isinstance(response, SendFailure):
         return response
     headers = response.headers
+    echoed_id = headers.get(REQUEST_ID_HEADER, "")
+    if echoed_id != request.request_id:
+        # This also holds for a rejection: only one that names the request says that it did not run.
+        return SendFailure(FailureKind.CROSSED, target.id, "response without the id of the request")
     if response.status == MISDIRECTED_REQUEST:
         sender = headers.get(RESPONDING_TARGET_HEADER, "another target")
         detail = f"response from {sender} on {response.use}"
@@ -323,8 +327,6 @@
     if NOT_RUN_HEADER in headers:
         detail = f"status {response.status} on {response.use}"
         return SendFailure(FailureKind.SHED, target.id, detail)
-    if headers.get(REQUEST_ID_HEADER) != request.request_id:
-        return SendFailure(FailureKind.CROSSED, target.id, "response without the id of the request")
-    if SIGNATURE_HEADER not in headers:
+    if not echoed_id or SIGNATURE_HEADER not in headers:
         return SendFailure(FailureKind.UNSIGNED, target.id, f"status {response.status}")
     return response
--- a/tests/serving/test_refused_requests.py
+++ b/tests/serving/test_refused_requests.py
@@ -111,3 +111,30 @@
         connection.remember(f"id-{number}", deadline_ms=100, now_ms=0)
     assert all(connection.has_answered(f"id-{number}") for number in range(65))
     assert connection.should_close
+
+
+WITHOUT_ID = {
+    "rejection": b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "wrong target": b"HTTP/1.1 421 X\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("response", WITHOUT_ID.values(), ids=WITHOUT_ID.keys())
+def test_rejection_that_names_no_request_promises_nothing(response) -> None:
+    """It may belong to another request on the connection, or to none."""
+
+    async def scenario() -> None:
+        target = PlatformTargetStandIn("t0")
+        target.foreign_responses = [response]
+        await target.start()
+        client = build_upstream_client()
+        try:
+            entry = Target("t0", "work", "127.0.0.1", target.port, "north-1", "", 4, False, 0, 0)
+            result = await client.send(entry, build_request("one", "t0"), TIMEOUT_MS)
+            assert target.runs["one"] == 1
+            assert not result.kind.certainly_not_run
+        finally:
+            await client.close()
+            await target.stop()
+
+    asyncio.run(scenario())
