Pass no promise on that a target does not confirm

What callers may see: 429 or 503 from a target for an order that it ran, taken for "not run", and repeated (REFUSED).

Cause: a target's own 408, 429 or 503 without the header for "not run" was delivered as it came, also for a request that may run only once. To a caller these statuses are a promise; to the protocol they are none.

Evidence: by test only.

Change: for a request that is not idempotent such a response ends the send as unconfirmed: 502 without the target's signature, and not sent again. Idempotent requests get it as before. The statuses that promise stand once (steering.refusals) instead of three times.

Measured: tests/serving/test_refused_requests.py, 408, 429 and 503: the three failed before (delivered with the signature), and pass; tests of the path, the upstream client and hedging pass.

--- a/src/waxwingshelf/serving/hedge_results.py
+++ b/src/waxwingshelf/serving/hedge_results.py
@@ -12,12 +12,10 @@
     SendResult,
     UpstreamResponse,
 )
+from waxwingshelf.steering.refusals import NOT_RUN_STATUSES
 
 __all__ = ["choose_failure", "counts_as_answer"]
 
-# Responses that tell the caller that the request did not run; the other send may have run it.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
 
 class _Precedence(IntEnum):
     """Which of two failures decides about the next step: the one with the higher value."""
@@ -33,7 +31,7 @@
     """Return whether a result is a response for the caller, whatever the other send brings."""
     if not isinstance(result, UpstreamResponse):
         return False
-    return not result.is_failure and result.status not in _NOT_RUN_STATUSES
+    return not result.is_failure and result.status not in NOT_RUN_STATUSES
 
 
 def choose_failure(exchange: Exchange, first: SendResult, copy: SendResult) -> SendResult:
@@ -59,7 +57,7 @@
 
 def _find_precedence(result: SendResult) -> _Precedence:
     if isinstance(result, UpstreamResponse):
-        is_not_run = result.status in _NOT_RUN_STATUSES
+        is_not_run = result.status in NOT_RUN_STATUSES
         return _Precedence.ANSWERED_NOT_RUN if is_not_run else _Precedence.ANSWERED_FAILURE
     if result.kind.certainly_not_sent:
         return _Precedence.NOT_SENT
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -42,7 +42,7 @@
 from waxwingshelf.steering.attempts import Attempts
 from waxwingshelf.steering.config import OrganisationRule, RouteRule, SteeringConfig
 from waxwingshelf.steering.fair_order import OrganisationWeights
-from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
+from waxwingshelf.steering.refusals import NOT_RUN_STATUSES, Refusal, RefusalReason, Step
 from waxwingshelf.steering.routes import (
     choose_service,
     find_route,
@@ -59,7 +59,6 @@
 _RESPONSE_TRANSIT_MS = 120
 _CONFIG_TIMEOUT_S = 0.4
 _MS_PER_S = 1_000
-_NOT_RUN_STATUSES = (429, 503)
 _log = structlog.get_logger("requests")
 
 
@@ -282,7 +281,7 @@
             **(asdict(refusal.request) if refusal.request else {}),
         )
         headers = {REQUEST_ID_HEADER: request_id} if request_id else {}
-        if refusal.status in _NOT_RUN_STATUSES and refusal.retry_after_ms > 0:
+        if refusal.status in NOT_RUN_STATUSES and refusal.retry_after_ms > 0:
             headers["Retry-After"] = f"{refusal.retry_after_ms / _MS_PER_S:.3f}"
         text = f"{refusal.reason.value}\n"
         response = web.Response(status=refusal.status, headers=headers, text=text)
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -23,7 +23,11 @@
 
 
 class FailureKind(StrEnum):
-    """Why an attempt produced no response to forward."""
+    """Why an attempt produced no response to forward.
+
+    `UNCONFIRMED` is a status that tells the caller that its request did not run, from a target that
+    does not confirm it; the caller would repeat a request that may have run.
+    """
 
     NOT_CONNECTED = "not_connected"
     UNREACHABLE = "unreachable"
@@ -34,6 +38,7 @@
     BROKEN = "broken"
     CROSSED = "crossed"
     UNSIGNED = "unsigned"
+    UNCONFIRMED = "unconfirmed"
     TOO_LARGE = "too_large"
 
     @property
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -54,6 +54,7 @@
     TargetContact,
 )
 from waxwingshelf.steering.fleet import PeerAddress
+from waxwingshelf.steering.refusals import NOT_RUN_STATUSES
 from waxwingshelf.steering.target_reports import TargetReport
 from waxwingshelf.steering.targets import Target
 
@@ -329,4 +330,6 @@
         return SendFailure(FailureKind.SHED, target.id, detail)
     if not echoed_id or SIGNATURE_HEADER not in headers:
         return SendFailure(FailureKind.UNSIGNED, target.id, f"status {response.status}")
+    if response.status in NOT_RUN_STATUSES and not request.idempotent:
+        return SendFailure(FailureKind.UNCONFIRMED, target.id, f"status {response.status}")
     return response
--- a/src/waxwingshelf/steering/refusals.py
+++ b/src/waxwingshelf/steering/refusals.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Refusal", "RefusalReason", "RefusedRequest", "Step"]
+__all__ = ["NOT_RUN_STATUSES", "Refusal", "RefusalReason", "RefusedRequest", "Step"]
 
 
 class Step(StrEnum):
@@ -64,7 +64,8 @@
     RefusalReason.TARGET_FAILED: 502,
     RefusalReason.INTERNAL: 500,
 }
-_NOT_RUN_STATUSES = frozenset({429, 503})
+# Statuses that tell a caller that its request did not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +106,8 @@
 
     @property
     def status(self) -> int:
-        """Return the HTTP status: 429 or 503 only if no target can have run the request."""
+        """Return the HTTP status: one of `NOT_RUN_STATUSES` only if no target can have run it."""
         status = _STATUSES[self.reason]
-        if self.maybe_run and status in _NOT_RUN_STATUSES:
+        if self.maybe_run and status in NOT_RUN_STATUSES:
             return 502
         return status
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -25,12 +25,12 @@
 class ResponseMode(StrEnum):
     """How the target responds to a request.
 
-    SLOW has no effect of its own. SHED refuses the request without running it, FAIL returns status
-    500, CUT truncates the response, RESET resets the connection without a response, UNSIGNED omits
-    the signature, and EXTRA sends a second response. The UNFRAMED modes send a body without a
-    length and then reset or close the connection. The ENDLESS modes send bytes without end: as a
-    body without a length, as a chunked body, as header lines, as interim responses, or as responses
-    to other requests.
+    SLOW has no effect of its own. SHED refuses the request without running it, FAIL returns
+    `failure_status`, CUT truncates the response, RESET resets the connection without a response,
+    UNSIGNED omits the signature, and EXTRA sends a second response. The UNFRAMED modes send a body
+    without a length and then reset or close the connection. The ENDLESS modes send bytes without
+    end: as a body without a length, as a chunked body, as header lines, as interim responses, or as
+    responses to other requests.
     """
 
     NORMAL = "normal"
@@ -104,6 +104,7 @@
         self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], Awaitable[None]] = _do_nothing
         self.response_mode = ResponseMode.NORMAL
+        self.failure_status = 500
         self.runs: Counter[str] = Counter()
         self.request_heads: list[tuple[str, dict[str, str]]] = []
         self.request_bodies: list[bytes] = []
@@ -293,7 +294,8 @@
         response = _build_response(200, request_id, body, signed_headers)
         self._last_responses[writer] = response
         if self.response_mode is ResponseMode.FAIL:
-            writer.write(_build_response(500, request_id, b"failed", signed_headers))
+            failure = _build_response(self.failure_status, request_id, b"failed", signed_headers)
+            writer.write(failure)
         elif self.response_mode is ResponseMode.CUT:
             writer.write(response[:-3])
             await writer.drain()
--- a/tests/serving/test_refused_requests.py
+++ b/tests/serving/test_refused_requests.py
@@ -138,3 +138,23 @@
             await target.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_status_of_a_target_that_ran_an_order_promises_nothing(run_scenario, status) -> None:
+    """Targets confirm with a header of its own that a request did not run."""
+
+    async def scenario(deployment) -> None:
+        target = await deployment.add_target("t0")
+        await deployment.start_instance("n0")
+        await deployment.wait_until_ready("n0")
+        target.response_mode, target.failure_status = ResponseMode.FAIL, status
+        order = await deployment.send_request("/order/x", method="POST", Attempt_Id="order")
+        assert target.runs["order"] == 1
+        assert order.status == 502
+        assert "Server-Signature" not in order.headers
+        read = await deployment.send_request("/read/x")
+        assert read.status == status
+        assert read.headers["Server-Signature"] == "ok"
+
+    run_scenario(scenario)
