Exclude a target that answered, whatever the links to targets are

What callers may see: a request that a target rejects goes to the same target again while the instance holds its links for lost.

Cause: a failed send does not exclude its target while the links to all targets count as lost, as it then says nothing of the target. That was also applied to sends that the target answered on an open connection (no room, not the expected target, a response to another request).

Change: only a failure without a response (not connected, timeout, broken) is put down to the links.

Measured: tests/serving/test_target_sender.py, three of five cases failed before, and pass; tests of relays pass.

--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -51,10 +51,16 @@
         """Return whether no target has got any part of the request."""
         return self in _NOT_SENT_KINDS
 
+    @property
+    def may_be_due_to_links(self) -> bool:
+        """Return whether the link to the target can be the cause, as no response was read."""
+        return self in _LINK_KINDS
+
 
 _NOT_SENT_KINDS = frozenset(
     {FailureKind.NOT_CONNECTED, FailureKind.UNREACHABLE, FailureKind.WITHDRAWN}
 )
+_LINK_KINDS = frozenset({FailureKind.NOT_CONNECTED, FailureKind.TIMEOUT, FailureKind.BROKEN})
 _NOT_RUN_KINDS = _NOT_SENT_KINDS | {FailureKind.SHED, FailureKind.WRONG_TARGET}
 
 
--- a/src/waxwingshelf/serving/target_sender.py
+++ b/src/waxwingshelf/serving/target_sender.py
@@ -71,7 +71,8 @@
             if not isinstance(result, SendFailure):
                 return result
             if result.kind is not FailureKind.NOT_CONNECTED:
-                return replace(result, links_lost=self._prober.has_lost_links)
+                links_lost = result.kind.may_be_due_to_links and self._prober.has_lost_links
+                return replace(result, links_lost=links_lost)
             if not await self._prober.are_links_lost():
                 return result
         return await self._send_through_peers(
