--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,4 @@
 SEEDS ?= $(shell seq 1 50)
 soak: $(VENV)/.installed
 	$(PYTHON) -m tests.soak.soak $(SEEDS)
+	$(PYTHON) -m tests.soak.refusals $(SEEDS)
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -337,7 +337,7 @@
     if headers.get("transfer-encoding", "").lower() != "chunked":
         return await reader.readexactly(int(headers.get("content-length", "0")))
     chunks = []
-    while size := int(await reader.readline(), 16):
+    while size := int(await reader.readuntil(b"\n"), 16):
         chunks.append(await reader.readexactly(size))
         await reader.readline()
     await reader.readline()
@@ -382,6 +382,8 @@
 
 
 def _reset_connection(writer: asyncio.StreamWriter) -> None:
-    raw_socket = writer.get_extra_info("socket")
-    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    # The connection may have been closed by its caller just now.
+    with contextlib.suppress(OSError):
+        raw_socket = writer.get_extra_info("socket")
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     writer.transport.abort()
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,7 +15,12 @@
 
 from standins.platform_store import PlatformStoreStandIn
 from standins.platform_target import PlatformTargetStandIn
-from tests.soak.bound_instance import HOST_VARIABLE
+from tests.soak.bound_instance import (
+    CUT_VARIABLE,
+    HOST_VARIABLE,
+    INSTANCE_NETWORK,
+    PROXY_NETWORK,
+)
 from tests.soak.proxy import Proxy
 from tools.processes import find_ports
 
@@ -51,7 +56,10 @@
 
 @dataclass(slots=True)
 class Process:
-    """The process of one instance with its address, settings file and log file."""
+    """The process of one instance with its address, settings file and log file.
+
+    `cut` is the file that exists while its links to targets are cut; see `bound_instance`.
+    """
 
     name: str
     host: str
@@ -59,6 +67,7 @@
     settings: Path
     log: Path
     child: subprocess.Popen[bytes] | None = None
+    cut: Path = Path()
     expected_exit: bool = False
 
 
@@ -78,6 +87,7 @@
     store: PlatformStoreStandIn = field(default_factory=PlatformStoreStandIn)
     targets: list[PlatformTargetStandIn] = field(default_factory=list)
     target_proxies: list[Proxy] = field(default_factory=list)
+    peer_proxies: list[Proxy] = field(default_factory=list)
     processes: list[Process] = field(default_factory=list)
     source_folders: dict[int, Path] = field(default_factory=dict)
     config_version: int = 1
@@ -104,6 +114,7 @@
         self.change_config()
         for number in range(self.instances):
             self._add_instance(number, ports)
+            await self._add_peer_proxy(number, ports[3])
 
     async def stop(self) -> None:
         """Stop everything that was started."""
@@ -115,11 +126,18 @@
                 process.child.send_signal(signal.SIGCONT)
                 process.child.kill()
                 process.child.wait()
-        for proxy in [*self.target_proxies, *self._store_proxies]:
+        for proxy in [*self.target_proxies, *self.peer_proxies, *self._store_proxies]:
             proxy.stop()
         for runner in self._runners:
             await runner.cleanup()
 
+    async def _add_peer_proxy(self, number: int, port: int) -> None:
+        """Start the proxy before an instance, which `bound_instance` connects to instead."""
+        proxy = Proxy(f"{INSTANCE_NETWORK}{number + 1}", port)
+        proxy.port = port
+        await proxy.start(f"{PROXY_NETWORK}{number + 1}")
+        self.peer_proxies.append(proxy)
+
     async def _start_targets(self) -> None:
         for number in range(self.target_count):
             target = PlatformTargetStandIn(f"t{number}", work_s=0.02)
@@ -199,10 +217,10 @@
         self.store.put("op/config", config)
 
     def _add_instance(self, number: int, ports: list[int]) -> None:
-        host = f"127.0.7.{number + 1}"
+        host = f"{INSTANCE_NETWORK}{number + 1}"
         zone = list(REGIONS)[number % len(REGIONS)]
         settings = self.folder / f"n{number}.toml"
-        seeds = ", ".join(f'"127.0.7.{other + 1}:{ports[3]}"' for other in range(SEEDS))
+        seeds = ", ".join(f'"{INSTANCE_NETWORK}{other + 1}:{ports[3]}"' for other in range(SEEDS))
         zones = "\n".join(f'{name} = "{region}"' for name, region in REGIONS.items())
         settings.write_text(f"""[self]
 node_name = "n{number}"
@@ -224,6 +242,7 @@
 grace_period_s = {GRACE_PERIOD_S}
 """)
         process = Process(f"n{number}", host, ports, settings, self.folder / f"n{number}.log")
+        process.cut = self.folder / f"n{number}.cut"
         self.processes.append(process)
         self._start(process)
 
@@ -234,6 +253,7 @@
             "PYTHONPATH": f"{sources}{os.pathsep}.",
             "WAXWINGSHELF_SETTINGS": str(process.settings),
             HOST_VARIABLE: process.host,
+            CUT_VARIABLE: str(process.cut),
         }
         with process.log.open("ab") as log:
             process.child = subprocess.Popen(
--- a/tests/soak/refusals.py
+++ b/tests/soak/refusals.py
@@ -3,7 +3,8 @@
 Run `python -m tests.soak.refusals SEED...`. More instances than in the soak serve more callers than
 the targets can take, beside busy processes. Meanwhile instances stand still, stop, end, and lose
 their links to all targets; targets reject, repeat rejections late, and restart under new ids at
-their addresses. At the end, the answers that callers got are compared with what targets ran.
+their addresses; instances lose the links to each other and to the store. At the end, the answers
+that callers got are compared with what targets ran.
 """
 
 from __future__ import annotations
@@ -24,13 +25,14 @@
 import aiohttp
 
 from standins.platform_target import PlatformTargetStandIn, ResponseMode
+from tests.serving.target_links import open_unresponsive_port, reserve_refusing_port
 from tests.soak.deployment import Process, SoakDeployment
 from tests.soak.proxy import LinkFault
 
-__all__ = ["NOT_RUN_STATUSES", "RefusalRun", "find_broken_promises"]
+__all__ = ["RefusalRun", "find_broken_promises"]
 
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-_FAULT_TASKS = 4
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
+_FAULT_TASKS = 5
 _SLOTS = 3
 _QUEUE_LENGTH = 4
 _WORK_S = 0.05
@@ -52,7 +54,7 @@
     broken: dict[str, str] = {}
     for request_id, count in runs.items():
         status = statuses.get(request_id)
-        if status is None or (status not in NOT_RUN_STATUSES and count == 1):
+        if status is None or (status not in _NOT_RUN_STATUSES and count == 1):
             continue
         sends = [
             f"{arrival.target_id}#{arrival.connection}:{'ran' if arrival.ran else 'rejected'}"
@@ -79,6 +81,8 @@
     repeats_rejections: bool = True
     statuses: dict[str, int] = field(default_factory=dict)
     read_statuses: dict[str, int] = field(default_factory=dict)
+    _unresponsive_port: int = 0
+    _refusing_port: int = 0
 
     def __post_init__(self) -> None:
         """Create the seeded random generator."""
@@ -87,6 +91,9 @@
     async def run(self) -> dict[str, str]:
         """Run, and return the broken promises."""
         busy = [_start_busy_process() for _ in range(self.busy_processes)]
+        ports = contextlib.ExitStack()
+        self._unresponsive_port = ports.enter_context(open_unresponsive_port())
+        self._refusing_port = ports.enter_context(reserve_refusing_port()).getsockname()[1]
         try:
             await self.deployment.start()
             for target in self.deployment.targets:
@@ -103,6 +110,7 @@
                 child.kill()
                 child.wait()
             await self.deployment.stop()
+            ports.close()
 
     async def _wait_until_served(self, session: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(_START_TIMEOUT_S):
@@ -158,6 +166,9 @@
             self._pause_processes,
             self._cut_instances,
             self._cut_instances,
+            self._cut_peers,
+            self._cut_store,
+            self._change_settings,
             self._end_process,
             self._change_response_mode,
             self._repeat,
@@ -177,16 +188,54 @@
             child.send_signal(signal.SIGCONT)
 
     async def _cut_instances(self) -> None:
+        """Let some instances lose their links to all targets; open connections may live on."""
         chosen = self.rng.sample(self.deployment.processes, self.rng.choice((1, 2, 3)))
-        fault = self.rng.choice((LinkFault.SILENT, LinkFault.RESET))
+        fault = self.rng.choice((LinkFault.SILENT, LinkFault.RESET, LinkFault.NONE))
+        port = self._unresponsive_port if fault is LinkFault.SILENT else self._refusing_port
         for process in chosen:
+            process.cut.write_text(str(port))
             for proxy in self.deployment.target_proxies:
                 proxy.cut_host(process.host, fault)
-        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        await asyncio.sleep(self.rng.uniform(0.3, 3.0))
         for process in chosen:
+            process.cut.unlink(missing_ok=True)
             for proxy in self.deployment.target_proxies:
                 proxy.cut_host(process.host, LinkFault.NONE)
 
+    async def _cut_peers(self) -> None:
+        """Let some instances lose the links to the others, or the others those to them."""
+        chosen = self.rng.sample(self.deployment.processes, self.rng.choice((1, 2, 3)))
+        hosts = {process.host for process in chosen}
+        fault = self.rng.choice((LinkFault.SILENT, LinkFault.RESET))
+        outwards = self.rng.random() < 0.5
+        proxies = self.deployment.peer_proxies
+        if not outwards:
+            proxies = [
+                proxy
+                for process, proxy in zip(self.deployment.processes, proxies, strict=True)
+                if process.host in hosts
+            ]
+            hosts = {process.host for process in self.deployment.processes}
+        for proxy in proxies:
+            for host in hosts:
+                proxy.cut_host(host, fault)
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        for proxy in proxies:
+            for host in hosts:
+                proxy.cut_host(host, LinkFault.NONE)
+
+    async def _cut_store(self) -> None:
+        self.deployment.store_proxy.set_fault(self.rng.choice(list(LinkFault)[1:]))
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        self.deployment.store_proxy.set_fault(LinkFault.NONE)
+
+    async def _change_settings(self) -> None:
+        """Change the configuration, and let some instances read their settings again."""
+        self.deployment.change_config()
+        for process in self.rng.sample(self.deployment.processes, 2):
+            if process.child is not None and process.child.poll() is None:
+                process.child.send_signal(signal.SIGHUP)
+
     async def _end_process(self) -> None:
         process = self.rng.choice(self.deployment.processes)
         self.deployment.send_signal(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,7 @@
     SoakDeployment,
 )
 from tests.soak.proxy import LinkFault, Proxy
+from tests.soak.refusals import find_broken_promises
 from tests.soak.silences import check_departed_uploads, check_key_withdrawn_in_silence
 from tests.soak.stops import check_rate_after_restart, check_stop_while_requests_wait
 
@@ -45,7 +46,6 @@
 CRASHES_TO_QUARANTINE = 3
 ALLOWED_RETRIES = 3
 QUARANTINE_WAIT_S = 3.0
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 @dataclass(frozen=True, slots=True)
@@ -381,18 +381,11 @@
             )
 
     def _check_runs(self) -> None:
-        runs: Counter[str] = Counter()
-        for target in self.deployment.targets:
-            runs.update(target.runs)
-        for request_id, status in self.statuses.items():
-            if request_id in self.unsafe_ids and runs[request_id] > 1:
-                self.add_violation(
-                    "an order runs at most once", f"{request_id}: {runs[request_id]} runs"
-                )
-            if request_id in self.unsafe_ids and status in NOT_RUN_STATUSES and runs[request_id]:
-                self.add_violation(
-                    "a request reported as not run did not run", f"{request_id}: {status}"
-                )
+        statuses = {request_id: self.statuses[request_id] for request_id in self.unsafe_ids}
+        for request_id, detail in find_broken_promises(statuses, self.deployment.targets).items():
+            self.add_violation(
+                "an order runs at most once, and not if it was refused", f"{request_id}: {detail}"
+            )
         if not any(status == 200 for status in self.statuses.values()):
             self.add_violation("requests are served", "no request was served")
 
