--- a/tests/soak/bound_instance.py
+++ b/tests/soak/bound_instance.py
@@ -17,13 +17,14 @@
 from waxwingshelf.serving import __main__ as program
 from waxwingshelf.serving import client_sessions, instance
 
-__all__ = ["CUT_VARIABLE", "HOST_VARIABLE", "INSTANCE_NETWORK", "PROXY_NETWORK"]
+__all__ = ["CUT_VARIABLE", "HOST_VARIABLE", "INSTANCE_SUBNET", "PROXY_SUBNET"]
 
 HOST_VARIABLE = "SOAK_INSTANCE_HOST"
 # Names a file that exists while new connections to targets fail; it holds the port that they go to.
 CUT_VARIABLE = "SOAK_INSTANCE_CUT"
-INSTANCE_NETWORK = "127.0.7."
-PROXY_NETWORK = "127.0.8."
+# The third number of the loopback addresses of instances, and of the proxies before them.
+INSTANCE_SUBNET = ".7."
+PROXY_SUBNET = ".8."
 
 
 class PeerSocket(socket.socket):
@@ -32,7 +33,7 @@
     def connect(self, address: tuple[str, int]) -> None:  # type: ignore[override]
         """Connect to an address, or to the proxy before it."""
         host, port = address
-        super().connect((host.replace(INSTANCE_NETWORK, PROXY_NETWORK), port))
+        super().connect((host.replace(INSTANCE_SUBNET, PROXY_SUBNET), port))
 
 
 class TargetSocket(socket.socket):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -18,8 +18,8 @@
 from tests.soak.bound_instance import (
     CUT_VARIABLE,
     HOST_VARIABLE,
-    INSTANCE_NETWORK,
-    PROXY_NETWORK,
+    INSTANCE_SUBNET,
+    PROXY_SUBNET,
 )
 from tests.soak.proxy import Proxy
 from tools.processes import find_ports
@@ -39,6 +39,10 @@
 ]
 
 HOST = "127.0.0.1"
+# Soaks that run side by side have networks of their own.
+_NETWORK = f"127.{64 + os.getpid() % 128}"
+_INSTANCE_PREFIX = _NETWORK + INSTANCE_SUBNET
+_PROXY_PREFIX = _NETWORK + PROXY_SUBNET
 REGIONS = {"north-1": "north", "south-1": "south"}
 INSTANCES = 4
 TARGETS = 4
@@ -133,9 +137,9 @@
 
     async def _add_peer_proxy(self, number: int, port: int) -> None:
         """Start the proxy before an instance, which `bound_instance` connects to instead."""
-        proxy = Proxy(f"{INSTANCE_NETWORK}{number + 1}", port)
+        proxy = Proxy(f"{_INSTANCE_PREFIX}{number + 1}", port)
         proxy.port = port
-        await proxy.start(f"{PROXY_NETWORK}{number + 1}")
+        await proxy.start(f"{_PROXY_PREFIX}{number + 1}")
         self.peer_proxies.append(proxy)
 
     async def _start_targets(self) -> None:
@@ -217,10 +221,10 @@
         self.store.put("op/config", config)
 
     def _add_instance(self, number: int, ports: list[int]) -> None:
-        host = f"{INSTANCE_NETWORK}{number + 1}"
+        host = f"{_INSTANCE_PREFIX}{number + 1}"
         zone = list(REGIONS)[number % len(REGIONS)]
         settings = self.folder / f"n{number}.toml"
-        seeds = ", ".join(f'"{INSTANCE_NETWORK}{other + 1}:{ports[3]}"' for other in range(SEEDS))
+        seeds = ", ".join(f'"{_INSTANCE_PREFIX}{other + 1}:{ports[3]}"' for other in range(SEEDS))
         zones = "\n".join(f'{name} = "{region}"' for name, region in REGIONS.items())
         settings.write_text(f"""[self]
 node_name = "n{number}"
