Name the soak's check of refused requests like its other guarantees, and bound its busy processes

Cause: reading the diff: the soak speaks of guarantees, the new check of promises; a busy process would outlive a run that is killed.

Change: names, and busy processes end after 300 s by themselves.

--- a/tests/serving/test_refused_requests.py
+++ b/tests/serving/test_refused_requests.py
@@ -120,7 +120,7 @@
 
 
 @pytest.mark.parametrize("response", WITHOUT_ID.values(), ids=WITHOUT_ID.keys())
-def test_rejection_that_names_no_request_promises_nothing(response) -> None:
+def test_rejection_that_names_no_request_may_have_run(response) -> None:
     """It may belong to another request on the connection, or to none."""
 
     async def scenario() -> None:
@@ -141,7 +141,7 @@
 
 
 @pytest.mark.parametrize("status", [408, 429, 503])
-def test_status_of_a_target_that_ran_an_order_promises_nothing(run_scenario, status) -> None:
+def test_status_of_a_target_that_ran_an_order_is_not_passed_on(run_scenario, status) -> None:
     """Targets confirm with a header of its own that a request did not run."""
 
     async def scenario(deployment) -> None:
--- a/tests/soak/refusals.py
+++ b/tests/soak/refusals.py
@@ -29,7 +29,7 @@
 from tests.soak.deployment import Process, SoakDeployment
 from tests.soak.proxy import LinkFault
 
-__all__ = ["RefusalRun", "find_broken_promises"]
+__all__ = ["RefusalRun", "find_broken_guarantees"]
 
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _FAULT_TASKS = 5
@@ -40,9 +40,15 @@
 # Longer than any deadline, so that whatever may still run has run.
 _LAST_RUNS_S = 4.0
 _LARGE_BODY_BYTES = 3 * 1024 * 1024
+_BUSY_PROGRAM = """
+import time
+end_s = time.monotonic() + 300
+while time.monotonic() < end_s:
+    pass
+"""
 
 
-def find_broken_promises(
+def find_broken_guarantees(
     statuses: dict[str, int], targets: list[PlatformTargetStandIn]
 ) -> dict[str, str]:
     """Return the requests that ran although refused, or twice, each with its sends.
@@ -89,7 +95,7 @@
         self.rng = random.Random(self.seed)
 
     async def run(self) -> dict[str, str]:
-        """Run, and return the broken promises."""
+        """Run, and return the broken guarantees."""
         busy = [_start_busy_process() for _ in range(self.busy_processes)]
         ports = contextlib.ExitStack()
         self._unresponsive_port = ports.enter_context(open_unresponsive_port())
@@ -104,7 +110,7 @@
                 await self._wait_until_served(session)
                 await self._play(session)
             await asyncio.sleep(_LAST_RUNS_S)
-            return find_broken_promises(self.statuses, self.deployment.targets)
+            return find_broken_guarantees(self.statuses, self.deployment.targets)
         finally:
             for child in busy:
                 child.kill()
@@ -280,8 +286,8 @@
 
 
 def _start_busy_process() -> subprocess.Popen[bytes]:
-    """Start a process that keeps one core busy."""
-    return subprocess.Popen([sys.executable, "-c", "while True: pass"])
+    """Start a process that keeps one core busy, for a limited time in any case."""
+    return subprocess.Popen([sys.executable, "-c", _BUSY_PROGRAM])
 
 
 def _print_logs(folder: Path, request_id: str) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,7 +34,7 @@
     SoakDeployment,
 )
 from tests.soak.proxy import LinkFault, Proxy
-from tests.soak.refusals import find_broken_promises
+from tests.soak.refusals import find_broken_guarantees
 from tests.soak.silences import check_departed_uploads, check_key_withdrawn_in_silence
 from tests.soak.stops import check_rate_after_restart, check_stop_while_requests_wait
 
@@ -382,7 +382,7 @@
 
     def _check_runs(self) -> None:
         statuses = {request_id: self.statuses[request_id] for request_id in self.unsafe_ids}
-        for request_id, detail in find_broken_promises(statuses, self.deployment.targets).items():
+        for request_id, detail in find_broken_guarantees(statuses, self.deployment.targets).items():
             self.add_violation(
                 "an order runs at most once, and not if it was refused", f"{request_id}: {detail}"
             )
--- a/tests/soak/test_refusals.py
+++ b/tests/soak/test_refusals.py
@@ -6,7 +6,7 @@
 
 from standins.platform_target import Arrival, PlatformTargetStandIn
 from tests.soak.deployment import SoakDeployment
-from tests.soak.refusals import RefusalRun, find_broken_promises
+from tests.soak.refusals import RefusalRun, find_broken_guarantees
 
 # 2 and 3: the second copy of a rejection answered a second send on its connection.
 SEEDS = (2, 3)
@@ -23,7 +23,7 @@
     assert statuses.count(503) > 10
 
 
-def test_broken_promises_are_found_by_id() -> None:
+def test_broken_guarantees_are_found_by_id() -> None:
     target = PlatformTargetStandIn("t0")
     target.arrivals = [
         Arrival("refused", "t0", 1, ran=False),
@@ -36,7 +36,7 @@
         Arrival("read", "t0", 6, ran=True),
     ]
     statuses = {"refused": 503, "twice": 0, "served": 200, "rejected": 429}
-    assert find_broken_promises(statuses, [target]) == {
+    assert find_broken_guarantees(statuses, [target]) == {
         "refused": "status 503, arrivals t0#1:rejected t0#1:ran",
         "twice": "status 0, arrivals t0#2:ran t0#3:ran",
     }
