Keep the decision which requests may come again out of the platform's folder

Cause: reading the whole change: the platform's folder decides nothing, yet may_be_sent_again decided there, with a second copy of the lowest failure status.

Change: the folder only tells whether a response is a rejection (is_rejection); the exchange decides with it, and MIN_FAILURE_STATUS stands once, in send_results. No behaviour changes.

--- a/src/waxwingshelf/platform/target_responses.py
+++ b/src/waxwingshelf/platform/target_responses.py
@@ -24,7 +24,7 @@
     "MISDIRECTED_REQUEST",
     "decode_idle_timeout",
     "decode_target_report",
-    "may_be_sent_again",
+    "is_rejection",
     "parse_load",
     "parse_pause",
     "parse_rate_limit",
@@ -32,7 +32,6 @@
 
 MISDIRECTED_REQUEST = 421
 _SERVICE_UNAVAILABLE = 503
-_MIN_FAILURE_STATUS = 500
 _USUAL_PERCENT = 100
 _MS_PER_S = 1_000
 # A longer pause is more likely a mistake than a plan; an operator can still remove the target.
@@ -68,10 +67,9 @@
     )
 
 
-def may_be_sent_again(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether a request may be sent again after this response to it."""
-    is_rejection = status == MISDIRECTED_REQUEST or NOT_RUN_HEADER in headers
-    return is_rejection or status >= _MIN_FAILURE_STATUS
+def is_rejection(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether a response says that its sender did not run the request."""
+    return status == MISDIRECTED_REQUEST or NOT_RUN_HEADER in headers
 
 
 def parse_load(text: str | None) -> Load | None:
--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -12,12 +12,13 @@
 
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
-from waxwingshelf.platform.target_responses import decode_idle_timeout, may_be_sent_again
+from waxwingshelf.platform.target_responses import decode_idle_timeout, is_rejection
 from waxwingshelf.serving.response_buffer import (
     UNKNOWN_USE,
     BoundedResponseHandler,
     ConnectionUse,
 )
+from waxwingshelf.serving.send_results import MIN_FAILURE_STATUS
 
 __all__ = [
     "CheckedRequest",
@@ -146,13 +147,17 @@
             await super().start(connection)
             echoed_id = self.headers.get(REQUEST_ID_HEADER)
             if echoed_id is None or echoed_id == expected_id:
-                if expected_id is not None and may_be_sent_again(self.status, self.headers):
+                if expected_id is not None and self._may_be_sent_again():
                     _remember_request(connection, expected_id)
                 return
             while await self.content.readany():
                 pass
         raise ForeignResponsesError(f"{_MAX_SKIPPED_RESPONSES} responses to other requests")
 
+    def _may_be_sent_again(self) -> bool:
+        """Return whether the request may be sent again after this response."""
+        return self.status >= MIN_FAILURE_STATUS or is_rejection(self.status, self.headers)
+
     def reset(self) -> None:
         """Reset the connection of a response that was not read completely."""
         if self.connection is not None:
--- a/src/waxwingshelf/serving/send_results.py
+++ b/src/waxwingshelf/serving/send_results.py
@@ -11,6 +11,7 @@
 from waxwingshelf.serving.response_buffer import UNKNOWN_USE, ConnectionUse, ResponseHold
 
 __all__ = [
+    "MIN_FAILURE_STATUS",
     "FailureKind",
     "OutgoingRequest",
     "SendFailure",
@@ -19,7 +20,7 @@
     "allow_send",
 ]
 
-_MIN_FAILURE_STATUS = 500
+MIN_FAILURE_STATUS = 500
 
 
 class FailureKind(StrEnum):
@@ -91,7 +92,7 @@
     @property
     def is_failure(self) -> bool:
         """Return whether the status is that of a failure at the target (500 or more)."""
-        return self.status >= _MIN_FAILURE_STATUS
+        return self.status >= MIN_FAILURE_STATUS
 
 
 SendResult = UpstreamResponse | SendFailure
