Measure the processor time of a start and of an idle instance

Both were measured by hand only, one build at a time.

It names the interpreter itself, as python3 may be a script that takes 0.1 s to find it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: demo test soak lint bench bench-quick capacity fuzz binary schema format
+.PHONY: demo test soak lint instance-cost bench bench-quick capacity fuzz binary schema format
 
 $(VENV)/.installed: requirements/run.txt requirements/dev.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -30,6 +30,11 @@
 bench-quick: $(VENV)/.installed
 	$(PYTHON) -m tools.bench --quick
 
+BUILDS ?= .
+instance-cost: $(VENV)/.installed
+	sh deploy/build.sh
+	$(PYTHON) -m tools.instance_cost $(BUILDS)
+
 capacity: $(VENV)/.installed
 	$(PYTHON) -m tools.capacity
 
