Spend less on peers and targets that have not changed

Change: an instance with nothing in flight sends no load report after an empty one; slots by region are counted once per change of the targets, peers by region and candidate owners once per change of the fleet, whose version now rises with any change of an address; the peers that are heard are listed in one pass.

--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -271,6 +271,7 @@
 
     async def run_load_reports(self) -> None:
         """Report the requests in flight at each target to the peers, until cancelled."""
+        was_empty = True
         while True:
             period_ms = choose_period_ms(self.get_mean_duration_ms())
             await asyncio.sleep(period_ms / _MS_PER_S * self._rng.uniform(0.9, 1.1))
@@ -286,7 +287,10 @@
                 targets.list_slowness(self._clock.now_ms(), max_age_ms),
                 self.list_organisation_loads(),
             )
-            self._send_load_report(report)
+            # Of a report that is not sent, peers lose what the one before told when it expires.
+            if not (was_empty and report.is_empty):
+                self._send_load_report(report)
+            was_empty = report.is_empty
 
     def _send_load_report(self, report: LoadReport) -> None:
         full, brief = encode_load_report(report), encode_brief_load_report(report)
@@ -439,16 +443,11 @@
             self._pull_task = asyncio.create_task(self._pull(address.host, address.state_port))
 
     def _choose_ahead_peer(self, now_ms: int) -> Peer | None:
-        reachable = [
-            peer
-            for peer in self._fleet.list_peers()
-            if self._fleet.has_recent_heartbeat(peer, now_ms)
-        ]
         position = self._routing_state.mirror.position
         config_version = self._routing_state.config_version
         ahead = [
             peer
-            for peer in reachable
+            for peer in self._fleet.list_heard(now_ms)
             if peer.position > position or peer.config_version > config_version
         ]
         same_region = [peer for peer in ahead if peer.address.region == self.address.region]
--- a/src/waxwingshelf/serving/rate_limiter.py
+++ b/src/waxwingshelf/serving/rate_limiter.py
@@ -92,7 +92,7 @@
         """Update the candidate owners, until cancelled."""
         while True:
             self._owner_reports.remove_unresponsive(self._clock.now_ms())
-            self._update_candidate_owners()
+            self._refresh_candidate_owners()
             self._close_stale_connections()
             await asyncio.sleep(_UPDATE_INTERVAL_S)
 
@@ -129,8 +129,7 @@
 
     def _list_owners(self, organisation: str) -> list[PeerAddress]:
         """Return the rate owner in this region, then the instance to ask if it does not respond."""
-        if self._fleet.version != self._ranked_version:
-            self._update_candidate_owners()
+        self._refresh_candidate_owners()
         region = self._peer_network.address.region
         ranked = self._rankings.rank(region, organisation)
         available = [address for address in ranked if self._is_available(address)]
@@ -175,7 +174,10 @@
             addresses.append(self._peer_network.address)
         return addresses
 
-    def _update_candidate_owners(self) -> None:
+    def _refresh_candidate_owners(self) -> None:
+        """Choose the candidate owners again if the instances have changed."""
+        if self._ranked_version == self._fleet.version:
+            return
         self._ranked_version = self._fleet.version
         for region in self._fleet.list_regions():
             candidates = list_candidate_owners(self._list_region(region))
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -85,7 +85,7 @@
 class Fleet:
     """All known instances except this one.
 
-    `version` rises with each change of the instances or their regions. There are at least
+    `version` rises with each change of the instances or their addresses. There are at least
     `min_instances`, this one included, as far as the settings tell.
     """
 
@@ -97,6 +97,8 @@
         self._peers_by_boot: dict[tuple[int, int], Peer] = {}
         # None after a change of the peers or their addresses.
         self._regions: set[str] | None = None
+        # The peers in a region and the others; empty after a change.
+        self._divided_peers: dict[str, tuple[list[Peer], list[Peer]]] = {}
         self.version = 0
         self._started_ms = now_ms
         self._silent_peer_caps: dict[str, SilentPeerCap] = {}
@@ -126,7 +128,7 @@
             self._peers_by_boot[name_hash, heartbeat.boot] = peer
             peer.load_report_number = -1
             peer.heard_since = self._sent_demand.last_number
-        if not is_known or heartbeat.address.region != peer.address.region:
+        if not is_known or heartbeat.address != peer.address:
             self._record_change()
         peer.address = heartbeat.address
         peer.boot, peer.number = heartbeat.boot, heartbeat.number
@@ -204,9 +206,9 @@
         lost = [
             name
             for name, peer in self._peers.items()
-            if not self.has_recent_heartbeat(peer, now_ms)
-            and peer.unregistered_at_ms is not None
+            if peer.unregistered_at_ms is not None
             and now_ms - peer.unregistered_at_ms >= _REMOVAL_DELAY_MS
+            and not self.has_recent_heartbeat(peer, now_ms)
         ]
         if lost:
             self._record_change()
@@ -217,8 +219,18 @@
 
     def has_recent_heartbeat(self, peer: Peer, now_ms: int) -> bool:
         """Return whether a peer's last heartbeat is recent."""
-        limit_ms = _SPARSE_HEARTBEAT_TIMEOUT_MS if self.is_large() else _HEARTBEAT_TIMEOUT_MS
-        return peer.last_heartbeat_ms is not None and now_ms - peer.last_heartbeat_ms < limit_ms
+        if peer.last_heartbeat_ms is None:
+            return False
+        return now_ms - peer.last_heartbeat_ms < self._get_heartbeat_timeout_ms()
+
+    def list_heard(self, now_ms: int) -> list[Peer]:
+        """Return the peers whose last heartbeat is recent."""
+        since_ms = now_ms - self._get_heartbeat_timeout_ms()
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.last_heartbeat_ms is not None and peer.last_heartbeat_ms > since_ms
+        ]
 
     def should_watch_store(self, now_ms: int) -> bool:
         """Return whether this instance has to watch the store itself.
@@ -230,9 +242,7 @@
         if not self.is_large():
             return True
         same_region = [
-            peer
-            for peer in self._peers.values()
-            if peer.address.region == self._region and self.has_recent_heartbeat(peer, now_ms)
+            peer for peer in self.list_heard(now_ms) if peer.address.region == self._region
         ]
         names = [self._name, *(peer.address.name for peer in same_region)]
         names.sort(key=lambda name: hash_to_unit_interval("store watch", name))
@@ -287,24 +297,30 @@
         `region`, whose instances share their callers. The sample has a fixed size, so that the
         heartbeat traffic of the fleet grows only linearly with the number of instances.
         """
-        peers = list(self._peers.values())
         if not self.is_large():
-            return peers
-        same_region = [peer for peer in peers if peer.address.region == region]
-        other_regions = [peer for peer in peers if peer.address.region != region]
+            return list(self._peers.values())
+        same_region, other_regions = self._divide_peers(region)
         chosen = rng.sample(same_region, min(_SAME_REGION_RECIPIENTS, len(same_region)))
         return chosen + rng.sample(other_regions, min(_OTHER_REGION_RECIPIENTS, len(other_regions)))
 
+    def _divide_peers(self, region: str) -> tuple[list[Peer], list[Peer]]:
+        """Return the peers in a region and the others."""
+        divided = self._divided_peers.get(region)
+        if divided is None:
+            peers = self._peers.values()
+            divided = self._divided_peers[region] = (
+                [peer for peer in peers if peer.address.region == region],
+                [peer for peer in peers if peer.address.region != region],
+            )
+        return divided
+
     def list_peers(self) -> list[Peer]:
         """Return all known peers, whether or not they are alive."""
         return list(self._peers.values())
 
     def list_ready(self, now_ms: int) -> list[PeerAddress]:
         """Return the addresses of the peers that are ready and have a recent heartbeat."""
-        peers = self._peers.values()
-        return [
-            peer.address for peer in peers if peer.ready and self.has_recent_heartbeat(peer, now_ms)
-        ]
+        return [peer.address for peer in self.list_heard(now_ms) if peer.ready]
 
     def list_without_targets(self) -> set[str]:
         """Return the names of the peers that have lost their links to the targets."""
@@ -405,8 +421,12 @@
         for organisation in self._silent_peer_caps.keys() - set(known):
             del self._silent_peer_caps[organisation]
 
+    def _get_heartbeat_timeout_ms(self) -> int:
+        return _SPARSE_HEARTBEAT_TIMEOUT_MS if self.is_large() else _HEARTBEAT_TIMEOUT_MS
+
     def _record_change(self) -> None:
         self._regions = None
+        self._divided_peers.clear()
         self.version += 1
 
     def _list_silent_peers(self, now_ms: int) -> dict[str, int]:
@@ -427,8 +447,7 @@
         ]
 
     def _hears_most_peers(self, now_ms: int) -> bool:
-        responsive = sum(self.has_recent_heartbeat(peer, now_ms) for peer in self._peers.values())
-        return responsive * 2 >= len(self._peers)
+        return len(self.list_heard(now_ms)) * 2 >= len(self._peers)
 
     def _compute_store_silence_ms(self, now_ms: int) -> int:
         last_contact_ms = self.last_store_contact_ms
--- a/src/waxwingshelf/steering/peer_reports.py
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -78,3 +78,8 @@
     validity_ms: int = DEFAULT_VALIDITY_MS
     slowness: dict[int, int] = msgspec.field(default_factory=dict)
     organisations: dict[int, int] = msgspec.field(default_factory=dict)
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the sender has nothing in flight and nothing to tell of targets."""
+        return not (self.loads or self.slowness or self.organisations)
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 
 import msgspec
 
@@ -116,6 +117,7 @@
         self._locality = locality
         self._registry = registry
         self._cache: dict[tuple[str, str, bool, bool], list[TargetState]] = {}
+        self._slots_by_region: dict[str, dict[str, int]] = {}
         self._cache_version = -1
         self._scarce_regions: dict[str, ScarceRegions] = {}
         self._region_weights = region_weights or RegionWeights(RegionalDemand(locality.region))
@@ -141,8 +143,7 @@
 
         Requests that may run nowhere else take precedence: only the slots that they leave count.
         """
-        states = self._registry.list_usable(service)
-        even_weights = self._compute_even_weights(service, states, unbound=True)
+        even_weights = self._compute_even_weights(service, unbound=True)
         scarce_regions = self._scarce_regions.get(service)
         slots: dict[str, float] = {}
         base_weights: dict[str, float] = {}
@@ -249,14 +250,12 @@
     def _rank(
         self, service: str, object_key: str, unbound: bool, download: bool
     ) -> list[TargetState]:
-        if self._cache_version != self._registry.version or len(self._cache) > _MAX_CACHED_RANKINGS:
-            self._cache.clear()
-            self._cache_version = self._registry.version
+        self._drop_outdated()
         key = (service, object_key, unbound, download)
         ranking = self._cache.get(key)
         if ranking is None:
             states = self._registry.list_usable(service)
-            weights = self._compute_region_weights(service, states, unbound)
+            weights = self._compute_region_weights(service, unbound)
             domain_weight = self._compute_domain_weight(states) if download else 1.0
             ranking = sorted(
                 states,
@@ -265,42 +264,50 @@
             self._cache[key] = ranking
         return ranking
 
+    def _drop_outdated(self) -> None:
+        """Drop what was computed from earlier targets, and all rankings once there are many."""
+        if self._cache_version != self._registry.version:
+            self._cache_version = self._registry.version
+            self._slots_by_region.clear()
+            self._cache.clear()
+        elif len(self._cache) > _MAX_CACHED_RANKINGS:
+            self._cache.clear()
+
     def _drop_rankings(self, service: str) -> None:
         for key in [key for key in self._cache if key[0] == service]:
             del self._cache[key]
 
-    def _count_slots_by_region(self, service: str) -> dict[str, int]:
-        slots: dict[str, int] = {}
-        for state in self._registry.list_usable(service):
-            region = self._locality.find_region(state.target.failure_domain)
-            slots[region] = slots.get(region, 0) + state.target.slots
+    def _count_slots_by_region(self, service: str) -> Mapping[str, int]:
+        self._drop_outdated()
+        slots = self._slots_by_region.get(service)
+        if slots is None:
+            slots = self._slots_by_region[service] = {}
+            for state in self._registry.list_usable(service):
+                region = self._locality.find_region(state.target.failure_domain)
+                slots[region] = slots.get(region, 0) + state.target.slots
         return slots
 
-    def _compute_region_weights(
-        self, service: str, states: list[TargetState], unbound: bool
-    ) -> dict[str, float]:
+    def _compute_region_weights(self, service: str, unbound: bool) -> dict[str, float]:
         """Return the weight of the targets of each region: nearness, demand, reserved slots."""
-        weights = self._compute_even_weights(service, states, unbound)
+        weights = self._compute_even_weights(service, unbound)
         for region in weights:
             weights[region] *= self._region_weights.get_weight(service, region)
         return weights
 
-    def _compute_even_weights(
-        self, service: str, states: list[TargetState], unbound: bool
-    ) -> dict[str, float]:
+    def _compute_even_weights(self, service: str, unbound: bool) -> dict[str, float]:
         """Return the weight of the targets of each region if the demand is the same in all."""
         weights = dict.fromkeys(self._locality.region_by_domain.values(), 1.0)
-        weights[self._locality.region] = self._compute_local_weight(states)
+        weights[self._locality.region] = self._compute_local_weight(service)
         scarce_regions = self._scarce_regions.get(service)
         if unbound and scarce_regions is not None:
             for region in weights:
                 weights[region] *= scarce_regions.get_weight(region)
         return weights
 
-    def _compute_local_weight(self, states: list[TargetState]) -> float:
+    def _compute_local_weight(self, service: str) -> float:
         """Return the weight of a local target relative to a target in another region."""
-        local_slots = sum(state.target.slots for state in states if self._is_local(state))
-        total_slots = sum(state.target.slots for state in states)
+        slots = self._count_slots_by_region(service)
+        local_slots, total_slots = slots.get(self._locality.region, 0), sum(slots.values())
         region_count = len(set(self._locality.region_by_domain.values()))
         return compute_local_weight(local_slots, total_slots, region_count)
 
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -365,7 +365,8 @@
         notable = {
             id_hash: round(slowness * _PERCENT)
             for id_hash, state in self._by_id_hash.items()
-            if (slowness := state.speed.find_notable(now_ms, max_age_ms)) is not None
+            if state.speed.notable_at_ms is not None
+            and (slowness := state.speed.find_notable(now_ms, max_age_ms)) is not None
         }
         if len(notable) <= _MAX_SLOWNESS_ENTRIES:
             return notable
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -178,6 +178,19 @@
     assert all(before[key].target.id == "t3" for key in moved)
 
 
+def test_rankings_follow_targets_that_are_added() -> None:
+    """The weights of the regions depend on their slots, which are counted once for all requests."""
+    registry, placer = make_placer(count=2)
+    durations = RouteDurations(OBJECTIVE_MS)
+    placer.choose(make_request("k", durations), 0)
+    for number in range(2, 24, 2):
+        registry.put(make_target(number), 0)
+    fresh = Placer(LOCALITY, registry)
+    for number in range(100):
+        request = make_request(f"k{number}", durations)
+        assert placer.choose(request, 0)[0].state is fresh.choose(request, 0)[0].state
+
+
 def test_local_targets_get_most_requests_within_capacity() -> None:
     _, placer = make_placer()
     durations = RouteDurations(OBJECTIVE_MS)
