Keep objects where they are warm, and tell peers in the region where that is

Cause: most late answers are first runs of an object at a target. By the logs: - the first choice of an object was always taken for warm. It changes as targets come, leave and return and as weights of regions move, and each such object ran cold at once, though another target held it (220); - second and third choices were cold although a target that held the object had free slots: a first run at a first choice counted as a slow target (three times the warm time), and its age counted as silence, so that all targets looked slow after each start and were left (155).

An object is warm where it was sent.

Change: an object that is known to be warm at a target with a free slot stays there, and moves when the target is full. Load reports tell peers of the region where objects were sent (a field at the end, which earlier builds ignore); in a large fleet in the reports of six periods, as each reaches few peers. A duration between those of a warm and a first run is no sign of a slow target where it is not known which it was. steering.warm_objects and steering.placement decide, without input and output. A target with a rate limit keeps its turn.

Two tests state now what they took for granted: an object that is warm at the near target too (test_distances), and a request in flight (test_peer_messages, which broke: idle instances send no load reports any more). The simulation of speeds learns as the product does.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -187,7 +187,7 @@
         number, now_ms = next(self._attempt_numbers), self._clock.now_ms()
         speed = placement.state.speed.estimate(now_ms)
         attempt = Attempt(placement, number, now_ms, speed, download_bytes, organisation)
-        attempt.state.in_flight[attempt.number] = attempt.sent_ms
+        attempt.state.in_flight[attempt.number] = attempt.sent_ms + int(placement.cold_extra_ms)
         self.organisation_loads.start(attempt.state.target.service, organisation, now_ms)
         if download_bytes:
             attempt.state.downloads += 1
@@ -271,7 +271,7 @@
         target answers its requests.
         """
         now_ms = self._clock.now_ms()
-        state, typical_ms = attempt.state, attempt.placement.typical_ms
+        state, typical_ms = attempt.state, attempt.placement.longest_ms
         ratio = (now_ms - attempt.sent_ms) / typical_ms
         if ratio > state.compute_slowness(now_ms, typical_ms):
             run_slowness = state.speed.estimate_run(attempt.speed, attempt.sent_ms, now_ms)
@@ -339,10 +339,11 @@
         self.duration_average.record(elapsed_ms)
         placement, state = attempt.placement, attempt.state
         run_slowness = state.speed.estimate_run(attempt.speed, attempt.sent_ms, now_ms)
-        state.record_duration(elapsed_ms / placement.typical_ms, now_ms, run_slowness)
+        state.record_duration(placement.compute_ratio(elapsed_ms), now_ms, run_slowness)
         if placement.load < state.target.slots:
             usual_ms = round(elapsed_ms / state.speed.compute_run_factor(run_slowness))
-            self.get_durations(route).record(usual_ms, placement.warm)
+            durations = self.get_durations(route)
+            durations.record(usual_ms, placement.was_warm(usual_ms, durations))
 
     def _get_retry_budget(self, service: str) -> RetryBudget:
         budget = self._retry_budgets.get(service)
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -331,12 +331,17 @@
             self._dispatch_state.get_response_size(exchange.route).mean_bytes,
             download_bytes > 0,
             leaves_headroom,
+            exchange.has_object,
         )
         placements = self._dispatch_state.placer.choose(request, now_ms)
         placements = self._checks.list_in_time(placements, request.durations, now_ms)
-        return self._dispatch_state.try_start_attempt(
+        attempt = self._dispatch_state.try_start_attempt(
             placements, exchange.organisation, download_bytes, now_ms
         )
+        if attempt is not None and exchange.has_object:
+            targets = self._routing_state.targets
+            targets.record_send(attempt.state, exchange.object_key, now_ms)
+        return attempt
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
         hedged_sender = self._hedged_sender
--- a/src/waxwingshelf/serving/exchange.py
+++ b/src/waxwingshelf/serving/exchange.py
@@ -74,6 +74,11 @@
     position: int = 0
     share: float = 0.0
 
+    @property
+    def has_object(self) -> bool:
+        """Return whether the request is for an object, which may be warm at a target."""
+        return self.object_key != self.id
+
     @property
     def organisation(self) -> str:
         """Return the name of the caller's organisation, or an empty string if it has none."""
--- a/src/waxwingshelf/serving/hedged_sender.py
+++ b/src/waxwingshelf/serving/hedged_sender.py
@@ -203,6 +203,7 @@
             waited_ms=max(0, time_left_ms),
             response_bytes=self._dispatch_state.get_response_size(exchange.route).mean_bytes,
             download=exchange.route.kind is RouteKind.DOWNLOAD,
+            has_object=exchange.has_object,
         )
         placements = self._dispatch_state.placer.choose(request, now_ms)
         return list_copy_placements(placements, first.state, remaining_ms, time_left_ms)
@@ -210,7 +211,7 @@
     def _get_durations(self, exchange: Exchange) -> RouteDurations:
         """Return the usual durations; a request without an object is as fast at any target."""
         durations = self._dispatch_state.get_durations(exchange.route)
-        if exchange.object_key != exchange.id:
+        if exchange.has_object:
             return durations
         only_warm = RouteDurations(durations.latency_objective_ms)
         only_warm.warm_ms = only_warm.cold_ms = durations.warm_ms
--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -88,6 +88,7 @@
     validity_ms: int = DEFAULT_VALIDITY_MS
     slowness: dict[int, int] = msgspec.field(default_factory=dict)
     organisations: dict[int, int] = msgspec.field(default_factory=dict)
+    objects: dict[int, int] = msgspec.field(default_factory=dict)
 
 
 class ChangesMessage(msgspec.Struct, array_like=True):
@@ -150,6 +151,7 @@
         report.validity_ms,
         report.slowness,
         report.organisations,
+        report.objects,
     )
     return BRIEF_LOAD_REPORT_TYPE + msgspec.msgpack.encode(brief)
 
@@ -190,6 +192,7 @@
         brief.validity_ms,
         brief.slowness,
         brief.organisations,
+        brief.objects,
     )
 
 
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -49,6 +49,7 @@
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, LoadReport, Peer, PeerAddress
 from waxwingshelf.steering.load_reports import (
+    choose_objects_max_age_ms,
     choose_period_ms,
     choose_slowness_max_age_ms,
     choose_validity_ms,
@@ -286,18 +287,31 @@
                 choose_validity_ms(period_ms),
                 targets.list_slowness(self._clock.now_ms(), max_age_ms),
                 self.list_organisation_loads(),
+                self._list_sent_objects(period_ms),
             )
             # Of a report that is not sent, peers lose what the one before told when it expires.
             if not (was_empty and report.is_empty):
                 self._send_load_report(report)
             was_empty = report.is_empty
 
+    def _list_sent_objects(self, period_ms: int) -> dict[int, int]:
+        max_age_ms = choose_objects_max_age_ms(period_ms, self._fleet.is_large())
+        since_ms = self._clock.now_ms() - max_age_ms
+        return self._routing_state.targets.list_sent_objects(since_ms)
+
     def _send_load_report(self, report: LoadReport) -> None:
+        """Send a report to some peers; those in other regions get only every third, in part."""
+        recipients = self._choose_recipients()
+        near = [peer for peer in recipients if peer.address.region == self.address.region]
+        self._send_load_report_to(near, report)
+        if report.number % _FAR_LOAD_REPORT_PERIOD == 0:
+            far = [peer for peer in recipients if peer.address.region != self.address.region]
+            self._send_load_report_to(far, replace(report, objects={}))
+
+    def _send_load_report_to(self, peers: list[Peer], report: LoadReport) -> None:
         full, brief = encode_load_report(report), encode_brief_load_report(report)
-        is_far_turn = report.number % _FAR_LOAD_REPORT_PERIOD == 0
-        for peer in self._choose_recipients():
-            if is_far_turn or peer.address.region == self.address.region:
-                self.send_to(peer.address, brief if peer.brief else full)
+        for peer in peers:
+            self.send_to(peer.address, brief if peer.brief else full)
 
     def add_handler(self, message_type: bytes, handler: DatagramHandler) -> None:
         """Pass all datagrams of a type to `handler`, without the type byte."""
@@ -366,6 +380,7 @@
             targets.record_peer_loads(report.name, report.loads, valid_until_ms)
             reported_at_ms = now_ms - estimate_slowness_age_ms(report.validity_ms)
             targets.record_peer_slowness(report.slowness, reported_at_ms)
+            targets.record_peer_objects(report.objects, reported_at_ms)
             self.record_organisation_loads(
                 report.name, report.organisations, valid_until_ms, now_ms
             )
--- a/src/waxwingshelf/steering/durations.py
+++ b/src/waxwingshelf/steering/durations.py
@@ -32,6 +32,10 @@
         self.warm_ms = self.latency_objective_ms * _INITIAL_WARM_RATIO
         self.cold_ms = self.latency_objective_ms * _INITIAL_COLD_RATIO
 
+    def is_nearer_to_warm(self, elapsed_ms: int) -> bool:
+        """Return whether a duration is rather that of a request that found its object warm."""
+        return elapsed_ms * elapsed_ms < self.warm_ms * self.cold_ms
+
     def record(self, elapsed_ms: int, warm: bool) -> None:
         """Add the duration of one request that did not wait for a slot."""
         if warm:
--- a/src/waxwingshelf/steering/load_reports.py
+++ b/src/waxwingshelf/steering/load_reports.py
@@ -10,6 +10,7 @@
 __all__ = [
     "DEFAULT_VALIDITY_MS",
     "DurationAverage",
+    "choose_objects_max_age_ms",
     "choose_period_ms",
     "choose_slowness_max_age_ms",
     "choose_validity_ms",
@@ -27,6 +28,8 @@
 # A figure of a target's speed is in the reports of this many periods, since one may be lost, and
 # since a large fleet sends each to some peers only.
 _SLOWNESS_PERIODS = 2
+# An object is in the reports of this many periods in a small fleet, since one may be lost.
+_OBJECT_PERIODS = 2
 
 
 class DurationAverage:
@@ -62,6 +65,15 @@
     return _SLOWNESS_PERIODS * period_ms
 
 
+def choose_objects_max_age_ms(period_ms: int, is_large_fleet: bool) -> int:
+    """Return the maximum age of the requests whose objects are in a report.
+
+    A large fleet sends each report to some peers only, so that objects are in more of them.
+    """
+    periods = _VALID_PERIODS if is_large_fleet else _OBJECT_PERIODS
+    return periods * period_ms
+
+
 def estimate_slowness_age_ms(validity_ms: int) -> int:
     """Return the mean age of the targets' figures in a report that counts for `validity_ms`."""
     period_ms = min(_MAX_PERIOD_MS, max(_MIN_PERIOD_MS, validity_ms // _VALID_PERIODS))
--- a/src/waxwingshelf/steering/peer_reports.py
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -68,7 +68,8 @@
 
     The report counts for `validity_ms`; an earlier build does not tell. `slowness` is what targets
     told of their speed, in percent by hash of the target id. `organisations` holds the requests in
-    flight by hash of the service and the organisation.
+    flight by hash of the service and the organisation. `objects` holds the targets of the sender's
+    last requests, as their hash by hash of the object; peers in other regions do not get it.
     """
 
     name: str
@@ -78,8 +79,9 @@
     validity_ms: int = DEFAULT_VALIDITY_MS
     slowness: dict[int, int] = msgspec.field(default_factory=dict)
     organisations: dict[int, int] = msgspec.field(default_factory=dict)
+    objects: dict[int, int] = msgspec.field(default_factory=dict)
 
     @property
     def is_empty(self) -> bool:
         """Return whether the sender has nothing in flight and nothing to tell of targets."""
-        return not (self.loads or self.slowness or self.organisations)
+        return not (self.loads or self.slowness or self.organisations or self.objects)
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -6,12 +6,17 @@
 rendezvous hashing (Schindelhauer and Schomaker, 2005), with higher weights for targets of the
 region. An instance departs from that order only if the expected time at a lower-ranked target,
 including a cold run, is shorter.
+
+The order changes as targets come and go and weights of regions move. An object that is known to be
+warm at a target with a free slot then stays there, and moves when that target is full, as with
+consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018).
 """
 
 from __future__ import annotations
 
+import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -27,6 +32,7 @@
 from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.scarcity import ScarceRegions
 from waxwingshelf.steering.targets import TargetRegistry, TargetState
+from waxwingshelf.steering.warm_objects import hash_object_key
 
 __all__ = ["Locality", "Placement", "PlacementRequest", "Placer"]
 
@@ -65,7 +71,8 @@
     """The properties of a request that the choice of its target depends on.
 
     An empty `allowed_regions` allows all regions. `sticky` requests for one `object_key` are
-    limited to a few targets. `response_bytes` is the usual size of the route's responses. A
+    limited to a few targets. Without `has_object` the key only spreads requests, which are as fast
+    at any target. `response_bytes` is the usual size of the route's responses. A
     `download` prefers the targets of the instance's failure domain. A request that
     `leaves_headroom` does not use a target's last free slots, which are left to more urgent
     requests.
@@ -82,15 +89,17 @@
     response_bytes: float = 0.0
     download: bool = False
     leaves_headroom: bool = False
+    has_object: bool = True
 
 
 class Placement(msgspec.Struct, frozen=True):
     """A candidate target for a request, with its estimated cost.
 
     `rank` is the target's rank for the object, `load` the number of requests at the target, and
-    `warm` whether the object is warm there. `typical_ms` is the time that any target of the service
-    would take with that load. `cost_ms` also accounts for this target's slowness, distance and
-    failure rate.
+    `warm` whether the object is warm there, as far as is known. `typical_ms` is the time that any
+    target of the service would take with that load. `cost_ms` also accounts for this target's
+    slowness, distance and failure rate. `cold_extra_ms` is the extra time of a first run if the
+    object is not known to be warm.
     """
 
     state: TargetState
@@ -99,6 +108,26 @@
     warm: bool
     typical_ms: float
     cost_ms: float
+    cold_extra_ms: float = 0.0
+
+    @property
+    def longest_ms(self) -> float:
+        """Return the time that any target would take with that load if the object is not warm."""
+        return self.typical_ms + self.cold_extra_ms if self.warm else self.typical_ms
+
+    def compute_ratio(self, elapsed_ms: float) -> float:
+        """Return the ratio of a request's duration to the expected one.
+
+        Where it is not known whether the object was warm, both durations are expected.
+        """
+        if elapsed_ms <= self.typical_ms:
+            return elapsed_ms / self.typical_ms
+        return max(1.0, elapsed_ms / self.longest_ms)
+
+    def was_warm(self, usual_ms: int, durations: RouteDurations) -> bool:
+        """Return whether a run that usually takes that time has found its object warm."""
+        is_assumed = self.warm and self.cold_extra_ms > 0
+        return durations.is_nearer_to_warm(usual_ms) if is_assumed else self.warm
 
     def estimate_duration_ms(self, durations: RouteDurations, now_ms: int) -> float:
         """Return the time that this target is expected to take for the request."""
@@ -184,7 +213,7 @@
         if not candidates:
             return []
         limited = _find_limited_in_turn(candidates, request)
-        first = limited or candidates[0]
+        first = limited or _find_preferred(candidates)
         # A request that has waited for its first target is expected to wait as long again.
         max_cost_ms = first.cost_ms + request.waited_ms
         eligible = [
@@ -200,15 +229,53 @@
         return eligible
 
     def _list_candidates(self, request: PlacementRequest, now_ms: int) -> list[Placement]:
-        candidates: list[Placement] = []
         unbound = not request.allowed_regions
-        for state in self._rank(request.service, request.object_key, unbound, request.download):
-            if self._is_ineligible(state, request, now_ms):
-                continue
-            candidates.append(self._estimate(state, len(candidates), request, now_ms))
-            if request.sticky and len(candidates) >= _MAX_TARGETS_PER_OBJECT:
-                break
-        return candidates
+        ranking = self._rank(request.service, request.object_key, unbound, request.download)
+        eligible = (state for state in ranking if not self._is_ineligible(state, request, now_ms))
+        if not request.sticky:
+            return self._estimate_all(eligible, request, now_ms, is_held=False)
+        holders = self._list_holders(ranking, request, now_ms)
+        states = list(itertools.islice(eligible, _MAX_TARGETS_PER_OBJECT))
+        first_ids = {state.target.id for state in states}
+        states += [state for state in holders if state.target.id not in first_ids]
+        return self._estimate_all(states, request, now_ms, is_held=bool(holders))
+
+    def _list_holders(
+        self, ranking: list[TargetState], request: PlacementRequest, now_ms: int
+    ) -> list[TargetState]:
+        """Return the targets with a free slot where the object is known to be warm."""
+        object_hash = hash_object_key(request.object_key)
+        return [
+            state
+            for state in ranking
+            if state.warm_objects.has(object_hash, now_ms)
+            and not self._is_ineligible(state, request, now_ms)
+            and state.estimate_load(now_ms) < state.target.slots
+        ]
+
+    def _estimate_all(
+        self,
+        states: Iterable[TargetState],
+        request: PlacementRequest,
+        now_ms: int,
+        is_held: bool,
+    ) -> list[Placement]:
+        """Estimate the costs of targets, of which the first is the object's first choice.
+
+        The object is assumed to be warm at its first choice, unless it is known to be warm where a
+        slot is free (`is_held`). A target with a rate limit would never get a request again if the
+        object had become warm elsewhere meanwhile.
+        """
+        return [
+            self._estimate(
+                state,
+                rank,
+                request,
+                now_ms,
+                assume_warm=rank == 0 and (not is_held or state.rate_share is not None),
+            )
+            for rank, state in enumerate(states)
+        ]
 
     def _is_ineligible(self, state: TargetState, request: PlacementRequest, now_ms: int) -> bool:
         target = state.target
@@ -219,12 +286,18 @@
         return self._locality.find_region(target.failure_domain) not in request.allowed_regions
 
     def _estimate(
-        self, state: TargetState, rank: int, request: PlacementRequest, now_ms: int
+        self,
+        state: TargetState,
+        rank: int,
+        request: PlacementRequest,
+        now_ms: int,
+        assume_warm: bool,
     ) -> Placement:
         durations = request.durations
         load = state.estimate_load(now_ms)
         queued = max(0, load + 1 - state.target.slots)
-        warm = rank == 0 or state.is_warm_for(request.object_key, now_ms)
+        known_warm = state.is_warm_for(request.object_key, now_ms)
+        warm = assume_warm or known_warm
         work_ms = durations.warm_ms if warm else durations.cold_ms
         typical_ms = work_ms * (1.0 + queued / state.target.slots)
         cost_ms = typical_ms * state.compute_slowness(now_ms, durations.warm_ms)
@@ -234,8 +307,10 @@
         cost_ms += (
             state.compute_failure_rate(now_ms) * request.latency_objective_ms * _FAILURE_COST_FACTOR
         )
+        may_be_cold = request.sticky and request.has_object and not known_warm
+        cold_extra_ms = durations.cold_ms - durations.warm_ms if may_be_cold else 0.0
         # The rank is added so that targets of equal cost keep the order of the ranking.
-        return Placement(state, rank, load, warm, typical_ms, cost_ms + rank)
+        return Placement(state, rank, load, warm, typical_ms, cost_ms + rank, cold_extra_ms)
 
     def _compute_distance_ms(self, state: TargetState, request: PlacementRequest) -> float:
         if state.target.failure_domain == self._locality.failure_domain:
@@ -354,6 +429,12 @@
     return None
 
 
+def _find_preferred(candidates: list[Placement]) -> Placement:
+    """Return the candidate that a request may wait for: the best where its object is warm."""
+    warm = [candidate for candidate in candidates if candidate.warm]
+    return min(warm, key=_get_cost) if warm else candidates[0]
+
+
 def _has_capacity(candidate: Placement, request: PlacementRequest) -> bool:
     """Return whether the target has capacity; a cold run may only use otherwise idle slots.
 
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -11,6 +11,7 @@
 from waxwingshelf.steering.target_pauses import TargetPause
 from waxwingshelf.steering.target_reports import Load
 from waxwingshelf.steering.target_speed import SpeedModel, TargetSpeed
+from waxwingshelf.steering.warm_objects import SentObjects, WarmObjects, hash_object_key
 
 __all__ = [
     "PeerLoad",
@@ -26,8 +27,6 @@
 _SLOWNESS_HALF_LIFE_MS = 4_000
 _SMOOTHING_FACTOR = 0.25
 _SUSPEND_MS = 1_000
-_MAX_WARM_OBJECTS = 64
-_WARM_TTL_MS = 8_000
 _MASS_REMOVAL_FRACTION = 0.34
 _MAX_REMOVED_TARGETS = 1_024
 # Peers learn of a new run of a target within this time; their reports until then may be of the
@@ -78,13 +77,13 @@
 class TargetState(msgspec.Struct):
     """A target and this instance's observations of it.
 
-    `in_flight` maps the number of each attempt to its send time, `warm_objects` the key of each
-    object to the time at which the target last handled it; the oldest entries come first.
+    `in_flight` maps the number of each attempt to the time from which its age counts: the send
+    time, or later by the extra time of a first run if the object may not have been warm.
     `rate_share` is this instance's share of the rate limit that the target names, if it names one.
     `downloads` is the number of this instance's downloads in flight there.
     `leaving` is set once a response has said that the target's run will end. `pause` is what a
-    response asked for and no later one has ended. Peers' reports of its speed count from
-    `peer_speed_from_ms`. Times are readings of the instance's clock.
+    response asked for and no later one has ended. Peers' reports of it count from
+    `peer_reports_from_ms`. Times are readings of the instance's clock.
     """
 
     target: Target
@@ -99,12 +98,12 @@
     slowness_at_ms: int = 0
     suspended_until_ms: int = 0
     peer_loads: dict[str, PeerLoad] = msgspec.field(default_factory=dict)
-    warm_objects: OrderedDict[str, int] = msgspec.field(default_factory=OrderedDict)
+    warm_objects: WarmObjects = msgspec.field(default_factory=WarmObjects)
     rate_share: TargetRateShare | None = None
     leaving: bool = False
     pause: TargetPause | None = None
     speed: TargetSpeed = msgspec.field(default_factory=TargetSpeed)
-    peer_speed_from_ms: int = 0
+    peer_reports_from_ms: int = 0
     downloads: int = 0
 
     def is_cold(self, now_ms: int) -> bool:
@@ -168,7 +167,7 @@
         average = self._compute_decayed_slowness(now_ms)
         unresponsiveness = 0.0
         if self.in_flight:
-            oldest_ms = now_ms - next(iter(self.in_flight.values()))
+            oldest_ms = max(0, now_ms - min(self.in_flight.values()))
             unresponsiveness = oldest_ms / expected_ms / 2
         slowness = max(average, unresponsiveness)
         speed = self.speed
@@ -183,9 +182,8 @@
         return 1.0 + (self.slowness - 1.0) * decay_factor
 
     def is_warm_for(self, key: str, now_ms: int) -> bool:
-        """Return whether the target recently handled the object for this instance."""
-        sent_ms = self.warm_objects.get(key)
-        return sent_ms is not None and now_ms - sent_ms < _WARM_TTL_MS
+        """Return whether the object is known to be warm at the target."""
+        return self.warm_objects.has(hash_object_key(key), now_ms)
 
     def record_load(self, load: Load, now_ms: int, in_flight: int) -> None:
         """Record the load that the target reported.
@@ -219,11 +217,8 @@
         self.slowness_at_ms = now_ms
 
     def record_warm_object(self, key: str, now_ms: int) -> None:
-        """Record that the target handled the object; drop the oldest object beyond a limit."""
-        self.warm_objects[key] = now_ms
-        self.warm_objects.move_to_end(key)
-        if len(self.warm_objects) > _MAX_WARM_OBJECTS:
-            self.warm_objects.popitem(last=False)
+        """Record that a request for the object was sent to the target."""
+        self.warm_objects.record(hash_object_key(key), now_ms)
 
     def suspend(self, now_ms: int) -> None:
         """Exclude the target for a short time after a failed connection."""
@@ -255,6 +250,7 @@
         self.version = 0
         self.pauses = 0
         self._speed_model = SpeedModel()
+        self._sent_objects = SentObjects()
 
     def put(self, target: Target, now_ms: int) -> None:
         """Add or update a target; a restarted target loses its recorded state."""
@@ -263,7 +259,7 @@
             state = TargetState(target, speed=TargetSpeed(self._speed_model))
         elif _is_new_run(state.target, target):
             state = TargetState(target, speed=TargetSpeed(self._speed_model))
-            state.peer_speed_from_ms = now_ms + _NEW_RUN_DELAY_MS
+            state.peer_reports_from_ms = now_ms + _NEW_RUN_DELAY_MS
         self._states[target.id] = state
         state.target = target
         if target.cold_for_ms > 0:
@@ -378,9 +374,27 @@
         self._rebuild_indexes()
         for id_hash, percent in slowness.items():
             state = self._by_id_hash.get(id_hash)
-            if state is not None and reported_at_ms >= state.peer_speed_from_ms:
+            if state is not None and reported_at_ms >= state.peer_reports_from_ms:
                 state.speed.record_peer_report(percent / _PERCENT, reported_at_ms)
 
+    def record_send(self, state: TargetState, object_key: str, now_ms: int) -> None:
+        """Record that a request for an object is sent to a target, where it becomes warm."""
+        state.record_warm_object(object_key, now_ms)
+        target_hash = hash_target_id(state.target.id)
+        self._sent_objects.record(hash_object_key(object_key), target_hash, now_ms)
+
+    def list_sent_objects(self, since_ms: int) -> dict[int, int]:
+        """Return the hash of the target by hash of the object, of requests since `since_ms`."""
+        return self._sent_objects.list_recent(since_ms)
+
+    def record_peer_objects(self, objects: dict[int, int], now_ms: int) -> None:
+        """Take over where a peer has sent requests, as target hashes by hash of the object."""
+        self._rebuild_indexes()
+        for object_hash, target_hash in objects.items():
+            state = self._by_id_hash.get(target_hash)
+            if state is not None and now_ms >= state.peer_reports_from_ms:
+                state.warm_objects.record(object_hash, now_ms)
+
     def record_peer_loads(self, peer: str, loads: dict[int, int], valid_until_ms: int) -> None:
         """Replace the numbers of a peer's requests in flight, given by hash of the target id."""
         self._rebuild_indexes()
--- a/tests/serving/test_peer_messages.py
+++ b/tests/serving/test_peer_messages.py
@@ -110,6 +110,7 @@
     """A peer whose heartbeats do not say that it reads brief messages gets full ones alone."""
 
     async def scenario(deployment) -> None:
+        await deployment.add_target("t1", work_s=1.0)
         instance = await deployment.start_instance("n0")
         await deployment.wait_until_ready("n0")
         received: list[bytes] = []
@@ -133,7 +134,10 @@
         own = instance._peer_network.address
         datagram = HEARTBEAT_TYPE + msgspec.msgpack.encode(earlier)
         transport.sendto(datagram, (own.host, own.beat_port))
+        # Load reports are sent only while a request is in flight.
+        request = asyncio.create_task(deployment.send_request("/read/x"))
         await deployment.wait_until(lambda: len(received) >= 12)
+        await request
         transport.close()
         assert {data[:1] for data in received} == {HEARTBEAT_TYPE, LOAD_REPORT_TYPE}
 
--- a/tests/steering/speed_simulation.py
+++ b/tests/steering/speed_simulation.py
@@ -182,7 +182,8 @@
     ) -> None:
         state, number, sent_ms = placement.state, next(self.numbers), self.now_ms
         target = self.targets[state.target.id]
-        state.in_flight[number] = sent_ms
+        state.in_flight[number] = sent_ms + int(placement.cold_extra_ms)
+        state.record_warm_object(key, sent_ms)
         before = state.speed.estimate(sent_ms)
 
         def start() -> None:
@@ -201,12 +202,12 @@
             del state.in_flight[number]
             elapsed_ms = self.now_ms - sent_ms
             run_slowness = state.speed.estimate_run(before, sent_ms, self.now_ms)
-            ratio = elapsed_ms / placement.typical_ms
+            ratio = placement.compute_ratio(elapsed_ms)
             state.record_duration(ratio, self.now_ms, run_slowness)
             if placement.load < SLOTS:
                 usual_ms = round(elapsed_ms / state.speed.compute_run_factor(run_slowness))
-                instance.durations.record(usual_ms, placement.warm)
-            state.record_warm_object(key, self.now_ms)
+                was_warm = placement.was_warm(usual_ms, instance.durations)
+                instance.durations.record(usual_ms, was_warm)
             if arrived_ms >= LEARNING_MS:
                 self.elapsed_ms.append(self.now_ms - arrived_ms)
             self.place_waiting()
--- a/tests/steering/test_distances.py
+++ b/tests/steering/test_distances.py
@@ -130,6 +130,7 @@
     registry, placer = make_placer({"north-1": 1, "south-1": 1})
     near, far = registry.get("north-1.0"), registry.get("south-1.0")
     assert near is not None and far is not None
+    near.record_warm_object(key, 0)
     far.record_warm_object(key, 0)
     near.slowness = 1.3
     assert choose(placer, key, True).state is far
