--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -233,14 +233,14 @@
         ranking = self._rank(request.service, request.object_key, unbound, request.download)
         eligible = (state for state in ranking if not self._is_ineligible(state, request, now_ms))
         if not request.sticky:
-            return self._estimate_all(eligible, request, now_ms, is_held=False)
-        holders = self._list_holders(ranking, request, now_ms)
+            return self._estimate_all(eligible, request, now_ms, has_warm=False)
+        warm_states = self._list_warm(ranking, request, now_ms)
         states = list(itertools.islice(eligible, _MAX_TARGETS_PER_OBJECT))
         first_ids = {state.target.id for state in states}
-        states += [state for state in holders if state.target.id not in first_ids]
-        return self._estimate_all(states, request, now_ms, is_held=bool(holders))
+        states += [state for state in warm_states if state.target.id not in first_ids]
+        return self._estimate_all(states, request, now_ms, has_warm=bool(warm_states))
 
-    def _list_holders(
+    def _list_warm(
         self, ranking: list[TargetState], request: PlacementRequest, now_ms: int
     ) -> list[TargetState]:
         """Return the targets with a free slot where the object is known to be warm."""
@@ -258,12 +258,12 @@
         states: Iterable[TargetState],
         request: PlacementRequest,
         now_ms: int,
-        is_held: bool,
+        has_warm: bool,
     ) -> list[Placement]:
         """Estimate the costs of targets, of which the first is the object's first choice.
 
         The object is assumed to be warm at its first choice, unless it is known to be warm where a
-        slot is free (`is_held`). A target with a rate limit would never get a request again if the
+        slot is free (`has_warm`). A target with a rate limit would never get a request again if the
         object had become warm elsewhere meanwhile.
         """
         return [
@@ -272,7 +272,7 @@
                 rank,
                 request,
                 now_ms,
-                assume_warm=rank == 0 and (not is_held or state.rate_share is not None),
+                assume_warm=rank == 0 and (not has_warm or state.rate_share is not None),
             )
             for rank, state in enumerate(states)
         ]
