Log whether an object was known to be warm at its target

Cause: an operator could not tell from the logs whether a late answer was a first run that was expected, assumed away, or a surprise.

A comment on empty load reports is plainer, and the new field of load reports is among the cases of malformed and unknown values.

No decision changes.

--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -289,7 +289,7 @@
                 self.list_organisation_loads(),
                 self._list_sent_objects(period_ms),
             )
-            # Of a report that is not sent, peers lose what the one before told when it expires.
+            # Peers drop a report when it expires, so that an empty one need not be repeated.
             if not (was_empty and report.is_empty):
                 self._send_load_report(report)
             was_empty = report.is_empty
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -324,6 +324,8 @@
         rank=attempt.placement.rank,
         load=attempt.placement.load,
         slots=attempt.state.target.slots,
+        warm=attempt.placement.warm,
+        known_warm=attempt.placement.known_warm,
         cost_ms=int(attempt.placement.cost_ms),
         slowness=attempt.state.speed.find_recent(now_ms),
         elapsed_ms=now_ms - started_ms,
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -110,6 +110,11 @@
     cost_ms: float
     cold_extra_ms: float = 0.0
 
+    @property
+    def known_warm(self) -> bool:
+        """Return whether a first run is ruled out."""
+        return self.warm and self.cold_extra_ms == 0
+
     @property
     def longest_ms(self) -> float:
         """Return the time that any target would take with that load if the object is not warm."""
@@ -126,8 +131,9 @@
 
     def was_warm(self, usual_ms: int, durations: RouteDurations) -> bool:
         """Return whether a run that usually takes that time has found its object warm."""
-        is_assumed = self.warm and self.cold_extra_ms > 0
-        return durations.is_nearer_to_warm(usual_ms) if is_assumed else self.warm
+        if self.warm and not self.known_warm:
+            return durations.is_nearer_to_warm(usual_ms)
+        return self.warm
 
     def estimate_duration_ms(self, durations: RouteDurations, now_ms: int) -> float:
         """Return the time that this target is expected to take for the request."""
--- a/tests/platform/test_unknown_values.py
+++ b/tests/platform/test_unknown_values.py
@@ -465,7 +465,7 @@
 HEARTBEAT = Heartbeat(
     ADDRESS, 5, 9, True, 145, {"o1": 2.0}, True, 2, 7, True, DemandAck(4, 3), reaches_targets=True
 )
-LOAD_REPORT = LoadReport("n1", 5, 3, {17: 1}, 900, {17: 250}, {18: 2})
+LOAD_REPORT = LoadReport("n1", 5, 3, {17: 1}, 900, {17: 250}, {18: 2}, {19: 17})
 QUARANTINE_MESSAGE = crash_messages.QuarantineMessage("f", QUARANTINE)
 MESSAGES: dict[str, tuple[bytes, Any]] = {
     "heartbeat": (peer_messages.encode_heartbeat(HEARTBEAT), peer_messages.decode_heartbeat),
@@ -522,6 +522,8 @@
     ("brief_load_report", 4, "validity_ms", 600),
     ("brief_load_report", 5, "slowness", {}),
     ("brief_load_report", 6, "organisations", {}),
+    ("load_report", "objects", "objects", {}),
+    ("brief_load_report", 7, "objects", {}),
 ]
 
 
