Test that first runs are no sign of slow targets, and that objects leave full ones

Change: tests only. A duration between those of a warm and a first run counts as usual where it is not known which it was, a first run under way is not silence, and an object leaves a target without a free slot.

--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -10,7 +10,7 @@
 
 from waxwingshelf.steering import placement as placement_module
 from waxwingshelf.steering.durations import RouteDurations
-from waxwingshelf.steering.placement import Locality, PlacementRequest, Placer
+from waxwingshelf.steering.placement import Locality, Placement, PlacementRequest, Placer
 from waxwingshelf.steering.target_limits import TargetRateShare
 from waxwingshelf.steering.targets import Target, TargetRegistry
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
@@ -274,3 +274,56 @@
     state.in_flight = dict.fromkeys(range(load), 0)
     request = make_request("o1", RouteDurations(OBJECTIVE_MS), leaves_headroom=leaves_headroom)
     assert bool(Placer(LOCALITY, registry).choose(request, 0)) == is_placed
+
+
+def choose_known(placer: Placer, durations: RouteDurations, key: str, known: bool) -> Placement:
+    """Return the placement at the first choice of an object, perhaps known to be warm there."""
+    placement = placer.choose(make_request(key, durations), 0)[0]
+    if known:
+        placement.state.record_warm_object(key, 0)
+        placement = placer.choose(make_request(key, durations), 0)[0]
+    return placement
+
+
+@pytest.mark.parametrize(
+    ("known", "elapsed_ms", "expected"),
+    [
+        (False, WARM_MS // 2, 0.5),
+        (False, WARM_MS, 1.0),
+        (False, COLD_MS, 1.0),
+        (False, 2 * COLD_MS, 2.0),
+        (True, COLD_MS, COLD_MS / WARM_MS),
+    ],
+)
+def test_first_run_is_no_sign_of_a_slow_target(known, elapsed_ms, expected) -> None:
+    """After a start all targets looked three times slower, and objects left those they had."""
+    _, placer = make_placer()
+    durations = RouteDurations(OBJECTIVE_MS)
+    durations.warm_ms, durations.cold_ms = WARM_MS, COLD_MS
+    placement = choose_known(placer, durations, "k", known)
+    assert placement.compute_ratio(elapsed_ms) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(("known", "looks_slow"), [(False, False), (True, True)])
+def test_first_run_under_way_does_not_count_as_silence(known, looks_slow) -> None:
+    """A target that was busy with a first run looked unresponsive, and its objects left it."""
+    _, placer = make_placer()
+    durations = RouteDurations(OBJECTIVE_MS)
+    durations.warm_ms, durations.cold_ms = WARM_MS, COLD_MS
+    placement = choose_known(placer, durations, "k", known)
+    state = placement.state
+    state.in_flight[1] = int(placement.cold_extra_ms)
+    assert (state.compute_slowness(COLD_MS, WARM_MS) > 1.0) is looks_slow
+    # A target that does not answer is noticed all the same, later.
+    assert state.compute_slowness(2 * COLD_MS, WARM_MS) > 1.0
+
+
+def test_object_leaves_a_full_target_although_it_is_warm_there() -> None:
+    """Fails if an object waits where it is warm while its first choice is free."""
+    _, placer = make_placer()
+    request = make_request("k", RouteDurations(OBJECTIVE_MS))
+    first, _, _, _, other, *_ = placer._rank("reads", "k", True, False)
+    other.record_warm_object("k", 0)
+    assert placer.choose(request, 1)[0].state is other
+    other.in_flight = dict.fromkeys(range(SLOTS), 0)
+    assert placer.choose(request, 1)[0].state is first
