Let no object wait for a full target where it is warm

Change: a request waits for the best target where its object is known to be warm only if that target has a free slot, else for its first choice, as before. The new test fails without it.

--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -436,9 +436,16 @@
 
 
 def _find_preferred(candidates: list[Placement]) -> Placement:
-    """Return the candidate that a request may wait for: the best where its object is warm."""
-    warm = [candidate for candidate in candidates if candidate.warm]
-    return min(warm, key=_get_cost) if warm else candidates[0]
+    """Return the candidate that a request may wait for.
+
+    That is the first choice, or the best where the object is known to be warm and a slot is free.
+    """
+    warm = [
+        candidate
+        for candidate in candidates
+        if candidate.known_warm and candidate.load < candidate.state.target.slots
+    ]
+    return min(warm, key=_get_cost, default=candidates[0])
 
 
 def _has_capacity(candidate: Placement, request: PlacementRequest) -> bool:
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -327,3 +327,14 @@
     assert placer.choose(request, 1)[0].state is other
     other.in_flight = dict.fromkeys(range(SLOTS), 0)
     assert placer.choose(request, 1)[0].state is first
+
+
+def test_request_does_not_wait_for_a_full_target_where_its_object_is_warm() -> None:
+    """A dearer first choice got nothing while requests waited for a target without a free slot."""
+    _, placer = make_placer()
+    request = make_request("k", RouteDurations(OBJECTIVE_MS))
+    first, other, *_ = placer._rank("reads", "k", True, False)
+    other.record_warm_object("k", 0)
+    first.slowness = 4.0
+    other.in_flight = dict.fromkeys(range(2 * SLOTS), 0)
+    assert placer.choose(request, 1)[0].state is first
