--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -335,6 +335,6 @@
     request = make_request("k", RouteDurations(OBJECTIVE_MS))
     first, other, *_ = placer._rank("reads", "k", True, False)
     other.record_warm_object("k", 0)
-    first.slowness = 4.0
+    first.slowness = 2.5
     other.in_flight = dict.fromkeys(range(2 * SLOTS), 0)
     assert placer.choose(request, 1)[0].state is first
