--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -56,6 +56,7 @@
     estimate_slowness_age_ms,
 )
 from waxwingshelf.steering.mirror import Change, Position
+from waxwingshelf.steering.peer_rotation import PeerRotation
 from waxwingshelf.steering.regional_demand import RegionalDemand
 from waxwingshelf.steering.sent_demand import DemandAck
 
@@ -129,6 +130,8 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = random.Random(settings.name)
+        self._heartbeat_rotation = PeerRotation(self._rng)
+        self._load_report_rotation = PeerRotation(self._rng)
         self._boot = time.time_ns()
         self._heartbeat_number = 0
         self._load_report_number = 0
@@ -207,7 +210,7 @@
         now_ms = self._clock.now_ms()
         own_slots = self.regional_demand.list_own(now_ms)
         region_slots = self.regional_demand.list_region(now_ms)
-        for peer in self._choose_recipients():
+        for peer in self._choose_recipients(self._heartbeat_rotation):
             if peer.address.region == self.address.region:
                 addressed = replace(heartbeat, ack=peer.used, service_slots=own_slots)
             else:
@@ -301,7 +304,7 @@
 
     def _send_load_report(self, report: LoadReport) -> None:
         """Send a report to some peers; those in other regions get only every third, in part."""
-        recipients = self._choose_recipients()
+        recipients = self._choose_recipients(self._load_report_rotation)
         near = [peer for peer in recipients if peer.address.region == self.address.region]
         self._send_load_report_to(near, report)
         if report.number % _FAR_LOAD_REPORT_PERIOD == 0:
@@ -385,8 +388,8 @@
                 report.name, report.organisations, valid_until_ms, now_ms
             )
 
-    def _choose_recipients(self) -> list[Peer]:
-        return self._fleet.choose_heartbeat_recipients(self.address.region, self._rng)
+    def _choose_recipients(self, rotation: PeerRotation) -> list[Peer]:
+        return self._fleet.choose_heartbeat_recipients(self.address.region, rotation)
 
     async def handle_state_request(self, request: web.BaseRequest) -> web.Response:
         """Answer a peer with the changes after its position, or with all keys."""
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import random
 from collections.abc import Collection
@@ -17,7 +18,8 @@
 from waxwingshelf.core.hashing import hash_to_uint32, hash_to_unit_interval
 from waxwingshelf.steering.limits import compute_rate_share
 from waxwingshelf.steering.mirror import Position
-from waxwingshelf.steering.peer_reports import Heartbeat, LoadReport, PeerAddress
+from waxwingshelf.steering.peer_reports import Heartbeat, LoadReport, Peer, PeerAddress
+from waxwingshelf.steering.peer_rotation import PeerRotation
 from waxwingshelf.steering.sent_demand import DemandAck, SentDemand
 from waxwingshelf.steering.settling import Settling
 from waxwingshelf.steering.silent_peers import SilentPeerCap
@@ -30,6 +32,7 @@
 _SAME_REGION_RECIPIENTS = 8
 _OTHER_REGION_RECIPIENTS = 1
 _STORE_WATCHERS_PER_REGION = 2
+_MAX_CACHED_HASHES = 4_096
 # In a larger fleet, heartbeats from a peer in the same region arrive about every other second, and
 # from a peer in another region rarely.
 _SPARSE_HEARTBEAT_TIMEOUT_MS = 4_000
@@ -45,32 +48,6 @@
 _EXPIRED_SHARE_FACTOR = 0.1
 
 
-class Peer(msgspec.Struct):
-    """The last known state of one other instance.
-
-    `used` is its last heartbeat whose demand this instance's shares take into account. `ack` is the
-    last one of this instance that the peer's shares use, and `heard_since` the number of the last
-    one sent when the peer's process was first heard.
-    """
-
-    address: PeerAddress
-    boot: int = 0
-    number: int = -1
-    load_report_number: int = -1
-    ready: bool = False
-    watching: bool = False
-    brief: bool = False
-    reaches_targets: bool | None = None
-    position: Position = msgspec.field(default_factory=Position)
-    config_version: int = 0
-    demand: dict[str, float] = msgspec.field(default_factory=dict)
-    used: DemandAck = msgspec.field(default_factory=DemandAck)
-    ack: DemandAck | None = None
-    heard_since: int = 0
-    last_heartbeat_ms: int | None = None
-    unregistered_at_ms: int | None = None
-
-
 class PeerDemand(msgspec.Struct, frozen=True):
     """What is known of the peers' demand for one organisation's rate.
 
@@ -244,9 +221,9 @@
         same_region = [
             peer for peer in self.list_heard(now_ms) if peer.address.region == self._region
         ]
-        names = [self._name, *(peer.address.name for peer in same_region)]
-        names.sort(key=lambda name: hash_to_unit_interval("store watch", name))
-        if self._name in names[:_STORE_WATCHERS_PER_REGION]:
+        own_hash = _hash_watcher(self._name)
+        preceding = sum(_hash_watcher(peer.address.name) < own_hash for peer in same_region)
+        if preceding < _STORE_WATCHERS_PER_REGION:
             return True
         return not any(peer.watching for peer in same_region)
 
@@ -254,6 +231,10 @@
         """Return the addresses of the known peers in a region."""
         return [peer.address for peer in self._peers.values() if peer.address.region == region]
 
+    def list_region_peers(self) -> list[Peer]:
+        """Return the known peers in this instance's region."""
+        return self._divide_peers(self._region)[0]
+
     def list_regions(self) -> Collection[str]:
         """Return this instance's region and the regions of all known peers."""
         if self._regions is None:
@@ -290,18 +271,18 @@
         """Return whether the fleet is so large that heartbeats go only to a sample of the peers."""
         return len(self._peers) > _MAX_FULL_MESH_PEERS
 
-    def choose_heartbeat_recipients(self, region: str, rng: random.Random) -> list[Peer]:
+    def choose_heartbeat_recipients(self, region: str, rotation: PeerRotation) -> list[Peer]:
         """Return the peers to send the next heartbeat to.
 
-        In a small fleet these are all peers. In a large fleet they are a random sample, mostly from
-        `region`, whose instances share their callers. The sample has a fixed size, so that the
-        heartbeat traffic of the fleet grows only linearly with the number of instances.
+        In a small fleet these are all peers. In a large fleet they are some of `region` in turn,
+        whose instances share their callers, and a random one of the others. Their number is fixed,
+        so that the heartbeat traffic of the fleet grows only linearly with the number of instances.
         """
         if not self.is_large():
             return list(self._peers.values())
         same_region, other_regions = self._divide_peers(region)
-        chosen = rng.sample(same_region, min(_SAME_REGION_RECIPIENTS, len(same_region)))
-        return chosen + rng.sample(other_regions, min(_OTHER_REGION_RECIPIENTS, len(other_regions)))
+        near = rotation.take(same_region, _SAME_REGION_RECIPIENTS)
+        return near + rotation.sample(other_regions, _OTHER_REGION_RECIPIENTS)
 
     def _divide_peers(self, region: str) -> tuple[list[Peer], list[Peer]]:
         """Return the peers in a region and the others."""
@@ -458,3 +439,8 @@
             return 1.0
         expired = self._compute_store_silence_ms(now_ms) >= _SHARE_EXPIRY_MS
         return _EXPIRED_SHARE_FACTOR if expired else _ISOLATED_SHARE_FACTOR
+
+
+@functools.lru_cache(maxsize=_MAX_CACHED_HASHES)
+def _hash_watcher(name: str) -> float:
+    return hash_to_unit_interval("store watch", name)
--- a/src/waxwingshelf/steering/peer_reports.py
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -1,4 +1,4 @@
-"""What instances tell each other of themselves."""
+"""What instances tell each other of themselves, and what each keeps of the others."""
 
 from __future__ import annotations
 
@@ -7,9 +7,10 @@
 import msgspec
 
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
+from waxwingshelf.steering.mirror import Position
 from waxwingshelf.steering.sent_demand import DemandAck
 
-__all__ = ["Heartbeat", "LoadReport", "PeerAddress"]
+__all__ = ["Heartbeat", "LoadReport", "Peer", "PeerAddress"]
 
 
 class PeerAddress(msgspec.Struct, frozen=True):
@@ -85,3 +86,29 @@
     def is_empty(self) -> bool:
         """Return whether the sender has nothing in flight and nothing to tell of targets."""
         return not (self.loads or self.slowness or self.organisations or self.objects)
+
+
+class Peer(msgspec.Struct):
+    """The last known state of one other instance.
+
+    `used` is its last heartbeat whose demand this instance's shares take into account. `ack` is the
+    last one of this instance that the peer's shares use, and `heard_since` the number of the last
+    one sent when the peer's process was first heard.
+    """
+
+    address: PeerAddress
+    boot: int = 0
+    number: int = -1
+    load_report_number: int = -1
+    ready: bool = False
+    watching: bool = False
+    brief: bool = False
+    reaches_targets: bool | None = None
+    position: Position = msgspec.field(default_factory=Position)
+    config_version: int = 0
+    demand: dict[str, float] = msgspec.field(default_factory=dict)
+    used: DemandAck = msgspec.field(default_factory=DemandAck)
+    ack: DemandAck | None = None
+    heard_since: int = 0
+    last_heartbeat_ms: int | None = None
+    unregistered_at_ms: int | None = None
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, PeerAddress
+from waxwingshelf.steering.peer_rotation import PeerRotation
 
 PEERS = 30
 
@@ -23,13 +24,13 @@
 
 def test_recipients_follow_peers_that_change_their_region() -> None:
     fleet = make_fleet()
-    fleet.choose_heartbeat_recipients("north", random.Random(1))
+    fleet.choose_heartbeat_recipients("north", PeerRotation(random.Random(1)))
     for number in range(PEERS):
         fleet.record_heartbeat(make_heartbeat(number, 2, "south" if number % 2 else "north"), 1)
     names = {
         peer.address.name
         for seed in range(20)
-        for peer in fleet.choose_heartbeat_recipients("north", random.Random(seed))
+        for peer in fleet.choose_heartbeat_recipients("north", PeerRotation(random.Random(seed)))
         if peer.address.region == "north"
     }
     assert names == {f"n{number}" for number in range(0, PEERS, 2)}
--- a/tests/steering/test_limits.py
+++ b/tests/steering/test_limits.py
@@ -6,6 +6,7 @@
 
 from waxwingshelf.steering.fleet import Fleet, Heartbeat, LoadReport, PeerAddress
 from waxwingshelf.steering.limits import ColdTargetLimiter, RateBucket, RetryBudget
+from waxwingshelf.steering.peer_rotation import PeerRotation
 
 SECOND_MS = 1_000
 
@@ -81,7 +82,7 @@
         region = ("north", "south", "west")[number % 3]
         address = PeerAddress(f"n{number}", region, "d", "127.0.0.1", 1, 2, "x")
         fleet.record_registered(address)
-    recipients = fleet.choose_heartbeat_recipients("north", random.Random(1))
+    recipients = fleet.choose_heartbeat_recipients("north", PeerRotation(random.Random(1)))
     assert len(recipients) == expected_count
     if count > 17:
         same_region = [peer for peer in recipients if peer.address.region == "north"]
