--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 
 import structlog
 
@@ -52,6 +53,9 @@
         self._logged_shares: dict[str, float] = {}
         # Since when organisations with a bucket or demand have not been in the configuration.
         self._removed_since_ms: dict[str, int] = {}
+        # Since when this instance has been the first owner of a rate, in a large fleet.
+        self._owned_since_ms: dict[str, int] = {}
+        self._owned_at_ms = clock.now_ms()
         self._started_ms = self._updated_ms = clock.now_ms()
 
     def list_demand_rates(self) -> dict[str, float]:
@@ -62,6 +66,17 @@
             if rate > _MIN_REPORTED_RATE
         }
 
+    def record_owned(self, organisations: Collection[str]) -> None:
+        """Record whose rates this instance owns now; call this several times per second."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._owned_at_ms > _MAX_UPDATE_GAP_MS:
+            # Another instance may have owned them during a pause of this process.
+            self._owned_since_ms.clear()
+        self._owned_at_ms = now_ms
+        self._owned_since_ms = {
+            name: self._owned_since_ms.get(name, now_ms) for name in organisations
+        }
+
     def try_acquire(self, rule: OrganisationRule) -> RateBucket | None:
         """Count a request and take a token; return the bucket, or None if the bucket is empty."""
         self._request_counts[rule.name] = self._request_counts.get(rule.name, 0) + 1
@@ -96,7 +111,9 @@
         slack = self._compute_slack()
         if self._fleet.is_large():
             # At least one token, since the first requests may be seconds apart.
-            idle_ms = max(_HANDOVER_DURATION_MS, math.ceil(_MS_PER_S / (rule.rate_per_s * share)))
+            token_ms = math.ceil(_MS_PER_S / (rule.rate_per_s * share))
+            owned_ms = now_ms - self._owned_since_ms.get(rule.name, now_ms)
+            idle_ms = max(_HANDOVER_DURATION_MS, token_ms, owned_ms)
         else:
             idle_ms = now_ms - self._started_ms + START_DURATION_MS
         bucket = RateBucket(rule.rate_per_s, rule.burst, share, now_ms, slack, idle_ms)
--- a/src/waxwingshelf/serving/rate_limiter.py
+++ b/src/waxwingshelf/serving/rate_limiter.py
@@ -195,7 +195,9 @@
             return
         demand = self._demand_tracker.list_demand_rates()
         config = self._routing_state.config
-        for organisation in self._list_owned(config.organisations if config else ()):
+        owned = self._list_owned(config.organisations if config else ())
+        self._demand_tracker.record_owned(owned)
+        for organisation in owned:
             demand.setdefault(organisation, 0.0)
         own = self._peer_network.address
         number = next(self._report_numbers)
--- a/tests/serving/test_rate_after_restarts.py
+++ b/tests/serving/test_rate_after_restarts.py
@@ -141,3 +141,22 @@
 
     run_fleet(play, 8, 545.0, 545.0)
     assert max(refused_ms, default=0) <= 1_500
+
+
+@pytest.mark.parametrize("instances", [8, 20, 76, 195])
+def test_first_requests_after_a_quiet_time_are_admitted(instances) -> None:
+    """A rate's owner began with one token although it had admitted nothing for long.
+
+    Callers ask for less than a low rate, each instance for a fraction of a request per second.
+    """
+    rate = 12.0
+
+    async def play(fleet: RestartingFleet) -> None:
+        for node in fleet.nodes:
+            node.credit = fleet.rng.random()
+        fleet.set_demand(1.0)
+        await fleet.run(4.0)
+
+    fleet = run_fleet(play, instances, rate, rate)
+    assert fleet.find_worst_excess() <= 0
+    assert fleet.count_refused(0) <= 0.05 * fleet.count_admitted(0)
