--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -35,6 +35,7 @@
 from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
 from waxwingshelf.steering.placement import PlacementRequest
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
+from waxwingshelf.steering.targets import TargetState
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
 
 __all__ = ["Dispatcher", "Trials"]
@@ -91,6 +92,8 @@
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
         self._checks = PlacementChecks(routing_state, dispatch_state, sender, clock)
+        # Gets the target and the key of an object that may not have been warm there.
+        self.on_possible_first_run: Callable[[TargetState, str], None] = lambda state, key: None
 
     async def run(self) -> None:
         """Serve the queues periodically while requests wait, until cancelled.
@@ -341,6 +344,8 @@
         if attempt is not None and exchange.has_object:
             targets = self._routing_state.targets
             targets.record_send(attempt.state, exchange.object_key, now_ms)
+            if attempt.placement.may_be_first_run:
+                self.on_possible_first_run(attempt.state, exchange.object_key)
         return attempt
 
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -34,6 +34,7 @@
 from waxwingshelf.serving.logs import LogBuffer
 from waxwingshelf.serving.member_list import MemberListKeeper
 from waxwingshelf.serving.metrics import Metrics
+from waxwingshelf.serving.object_announcements import ObjectAnnouncer
 from waxwingshelf.serving.own_settings import OwnSettings
 from waxwingshelf.serving.peers import PeerNetwork
 from waxwingshelf.serving.quarantine_keeper import QuarantineKeeper
@@ -204,6 +205,10 @@
             metrics,
             self._hedged_sender,
         )
+        object_announcer = ObjectAnnouncer(
+            self._peer_network, self._fleet, self._routing_state.targets, clock, metrics
+        )
+        self._dispatcher.on_possible_first_run = object_announcer.announce
         self._request_handler = RequestHandler(
             self._routing_state,
             dispatch_state,
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -41,6 +41,12 @@
             ["result"],
             registry=registry,
         )
+        self.object_announcements = Counter(
+            "waxwingshelf_object_announcements",
+            "Objects sent without knowing that they are warm, told to or by peers.",
+            ["direction"],
+            registry=registry,
+        )
         self.rate_tokens = Counter(
             "waxwingshelf_rate_tokens",
             "Tokens of organisations' rates: granted, refused, or returned by requests not run.",
--- a/src/waxwingshelf/steering/placement.py
+++ b/src/waxwingshelf/steering/placement.py
@@ -115,6 +115,11 @@
         """Return whether a first run is ruled out."""
         return self.warm and self.cold_extra_ms == 0
 
+    @property
+    def may_be_first_run(self) -> bool:
+        """Return whether the object may not be warm at the target."""
+        return self.cold_extra_ms > 0
+
     @property
     def longest_ms(self) -> float:
         """Return the time that any target would take with that load if the object is not warm."""
--- a/tests/steering/test_warm_objects.py
+++ b/tests/steering/test_warm_objects.py
@@ -1,5 +1,7 @@
 """Tests of where objects are warm, partly on replays of a region's load."""
 
+import math
+
 import pytest
 
 from tests.steering.warm_replay import SERVICE, WarmReplay
@@ -48,6 +50,22 @@
     assert replay.first_runs <= necessary * MAX_FIRST_RUN_RATIO
 
 
+@pytest.mark.parametrize("instances", [8, 76, 300])
+def test_object_runs_first_once_where_instances_differ_in_their_first_choices(instances) -> None:
+    """An instance that did not know where an object was warm ran it at its own first choice.
+
+    Load reports alone keep the bound in a fleet of 76, but not in one of 300.
+    """
+    replay = make_replay(instances)
+    for second in range(24):
+        # Weights of regions move in steps, up to this many from where they began, and not at the
+        # same time at all instances.
+        for instance in replay.instances[second % 2 :: 2]:
+            instance.set_weight("south", math.exp(0.18 * replay.rng.randint(-13, 13)))
+        replay.run(1_000 * (second + 1), requests_per_s=0.9 * len(replay.objects))
+    assert replay.first_runs <= len(replay.served_at) * MAX_FIRST_RUN_RATIO
+
+
 def test_object_is_forgotten_at_a_target_after_some_time() -> None:
     objects = WarmObjects()
     objects.record(1, 0)
--- a/tests/steering/warm_replay.py
+++ b/tests/steering/warm_replay.py
@@ -10,7 +10,10 @@
 from waxwingshelf.steering.durations import RouteDurations
 from waxwingshelf.steering.load_reports import choose_objects_max_age_ms
 from waxwingshelf.steering.placement import Locality, PlacementRequest, Placer
-from waxwingshelf.steering.targets import Target, TargetRegistry
+from waxwingshelf.steering.region_weights import RegionWeights
+from waxwingshelf.steering.regional_demand import RegionalDemand
+from waxwingshelf.steering.targets import Target, TargetRegistry, hash_target_id
+from waxwingshelf.steering.warm_objects import hash_object_key
 
 REGIONS = {"north-1": "north", "north-2": "north", "south-1": "south"}
 LOCALITY = Locality("north", "north-1", REGIONS)
@@ -22,6 +25,19 @@
 # Instances of the region that get each load report of a large fleet.
 RECIPIENTS = 8
 MAX_FULL_MESH = 16
+# The time in which an announcement reaches the peers.
+ANNOUNCEMENT_MS = 2
+
+
+class ChosenWeights(RegionWeights):
+    """Weights of regions that a test sets, by region."""
+
+    def __init__(self) -> None:
+        super().__init__(RegionalDemand(LOCALITY.region))
+        self.weights: dict[str, float] = {}
+
+    def get_weight(self, service: str, region: str) -> float:
+        return self.weights.get(region, 1.0)
 
 
 @dataclass
@@ -30,10 +46,16 @@
 
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     durations: RouteDurations = field(default_factory=lambda: RouteDurations(OBJECTIVE_MS))
+    weights: ChosenWeights = field(default_factory=ChosenWeights)
     placer: Placer = field(init=False)
 
     def __post_init__(self) -> None:
-        self.placer = Placer(LOCALITY, self.registry)
+        self.placer = Placer(LOCALITY, self.registry, self.weights)
+
+    def set_weight(self, region: str, weight: float) -> None:
+        """Give the targets of a region another weight, which changes first choices."""
+        self.weights.weights[region] = weight
+        self.placer = Placer(LOCALITY, self.registry, self.weights)
 
 
 class WarmReplay:
@@ -94,6 +116,8 @@
             self.first_runs += 1
             served_at.append(state.target.id)
         instance.registry.record_send(state, key, self.now_ms)
+        if placement.may_be_first_run:
+            self._push(self.now_ms + ANNOUNCEMENT_MS, lambda: self._announce(key, state.target.id))
         state.in_flight[number] = self.now_ms + int(placement.cold_extra_ms)
         elapsed_ms = COLD_MS if is_first else WARM_MS
 
@@ -103,6 +127,12 @@
 
         self._push(self.now_ms + elapsed_ms, finish)
 
+    def _announce(self, key: str, target_id: str) -> None:
+        """Tell all instances of a send to a target at which the object may not have been warm."""
+        objects = {hash_object_key(key): hash_target_id(target_id)}
+        for instance in self.instances:
+            instance.registry.record_peer_objects(objects, self.now_ms)
+
     def _report(self, sender: ReplayInstance) -> None:
         """Tell peers which objects the sender has sent where, as load reports do."""
         is_large = len(self.instances) > MAX_FULL_MESH
