--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -75,6 +75,8 @@
 _MAX_CHANGES_BYTES = 4_096
 # A watch of the store nearly always delivers changes sooner than this.
 _MAX_LAG_MS = 650
+# An instance that relies on peers reads from them no more often, as changes come in series.
+_MIN_PULL_INTERVAL_MS = 500
 _KEEPALIVE_S = 10.0
 # The store's whole state, compressed or not.
 _MAX_STATE_BYTES = 32 * 1024 * 1024
@@ -139,6 +141,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._behind_since_ms: int | None = None
         self._pull_task: asyncio.Task[None] | None = None
+        self._next_pull_ms = 0
         self._is_reading_from_seeds = False
         self._handlers: dict[bytes, DatagramHandler] = {
             HEARTBEAT_TYPE: self._handle_heartbeat,
@@ -456,7 +459,10 @@
         relies_on_peers = not self._fleet.should_watch_store(now_ms)
         if not relies_on_peers and now_ms - self._behind_since_ms < _MAX_LAG_MS:
             return
+        if now_ms < self._next_pull_ms:
+            return
         if self._pull_task is None or self._pull_task.done():
+            self._next_pull_ms = now_ms + _MIN_PULL_INTERVAL_MS
             address = ahead.address
             self._pull_task = asyncio.create_task(self._pull(address.host, address.state_port))
 
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -128,12 +128,15 @@
     def _apply_changes(self, changes: list[Change], source: str) -> None:
         self._target_entries.apply(changes)
         now_ms = self._clock.now_ms()
+        has_evacuation = False
         for change in changes:
             self._apply_system_entry(change, source, now_ms)
             domain = parse_evacuated_domain(change.key)
             if domain is not None:
+                has_evacuation = True
                 self._held_evacuations_until_ms.pop(domain, None)
-        self._update_evacuations()
+        if has_evacuation:
+            self._update_evacuations()
 
     def _apply_restored(self, changes: list[Change], earlier: Position, source: str) -> None:
         """Apply a listing of the store after it came back from an older copy."""
--- a/src/waxwingshelf/steering/targets.py
+++ b/src/waxwingshelf/steering/targets.py
@@ -246,7 +246,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._by_id_hash: dict[int, TargetState] = {}
         self._id_hashes_by_peer: dict[str, set[int]] = {}
-        self._indexed_version = 0
+        self._listed_version = 0
         self.version = 0
         self.pauses = 0
         self._speed_model = SpeedModel()
@@ -261,6 +261,7 @@
             state = TargetState(target, speed=TargetSpeed(self._speed_model))
             state.peer_reports_from_ms = now_ms + _NEW_RUN_DELAY_MS
         self._states[target.id] = state
+        self._by_id_hash[hash_target_id(target.id)] = state
         state.target = target
         if target.cold_for_ms > 0:
             state.cold_until_ms = max(state.cold_until_ms, now_ms + target.cold_for_ms)
@@ -271,6 +272,9 @@
         state = self._states.pop(target_id, None)
         if state is None:
             return False
+        id_hash = hash_target_id(target_id)
+        if self._by_id_hash.get(id_hash) is state:
+            del self._by_id_hash[id_hash]
         self._removed[target_id] = state
         if len(self._removed) > _MAX_REMOVED_TARGETS:
             self._removed.popitem(last=False)
@@ -316,12 +320,12 @@
 
     def list_usable(self, service: str) -> list[TargetState]:
         """Return the targets in use: neither draining nor leaving nor evacuated."""
-        self._rebuild_indexes()
+        self._rebuild_lists()
         return self._by_service.get(service, [])
 
     def list_accepting(self, now_ms: int) -> list[TargetState]:
         """Return the targets in use of all services that have not asked for a pause."""
-        self._rebuild_indexes()
+        self._rebuild_lists()
         return [
             state
             for states in self._by_service.values()
@@ -344,7 +348,6 @@
 
     def count_in_flight(self) -> dict[int, int]:
         """Return the number of this instance's requests in flight by hash of the target id."""
-        self._rebuild_indexes()
         return {
             id_hash: len(state.in_flight)
             for id_hash, state in self._by_id_hash.items()
@@ -357,7 +360,6 @@
         These are fresh reports to this instance that are unusual or differ from the figure before.
         Of many, those that differ most from usual are returned.
         """
-        self._rebuild_indexes()
         notable = {
             id_hash: round(slowness * _PERCENT)
             for id_hash, state in self._by_id_hash.items()
@@ -371,7 +373,6 @@
 
     def record_peer_slowness(self, slowness: dict[int, int], reported_at_ms: int) -> None:
         """Take over figures that a peer passed on, in percent by hash of the target id."""
-        self._rebuild_indexes()
         for id_hash, percent in slowness.items():
             state = self._by_id_hash.get(id_hash)
             if state is not None and reported_at_ms >= state.peer_reports_from_ms:
@@ -389,7 +390,6 @@
 
     def record_peer_objects(self, objects: dict[int, int], now_ms: int) -> None:
         """Take over where a peer has sent requests, as target hashes by hash of the object."""
-        self._rebuild_indexes()
         for object_hash, target_hash in objects.items():
             state = self._by_id_hash.get(target_hash)
             if state is not None and now_ms >= state.peer_reports_from_ms:
@@ -397,7 +397,6 @@
 
     def record_peer_loads(self, peer: str, loads: dict[int, int], valid_until_ms: int) -> None:
         """Replace the numbers of a peer's requests in flight, given by hash of the target id."""
-        self._rebuild_indexes()
         for id_hash in self._id_hashes_by_peer.get(peer, set()) - loads.keys():
             if (state := self._by_id_hash.get(id_hash)) is not None:
                 state.peer_loads.pop(peer, None)
@@ -406,18 +405,15 @@
                 state.peer_loads[peer] = PeerLoad(count, valid_until_ms)
         self._id_hashes_by_peer[peer] = set(loads)
 
-    def _rebuild_indexes(self) -> None:
-        """Rebuild the indexes if a target has changed.
+    def _rebuild_lists(self) -> None:
+        """Rebuild the lists of targets in use if a target has changed.
 
         They are rebuilt on access and not on each change, so that a listing of many entries causes
         only one rebuild.
         """
-        if self._indexed_version == self.version:
+        if self._listed_version == self.version:
             return
-        self._indexed_version = self.version
-        self._by_id_hash = {
-            hash_target_id(state.target.id): state for state in self._states.values()
-        }
+        self._listed_version = self.version
         by_service: dict[str, list[TargetState]] = {}
         for state in self._states.values():
             if self._is_usable(state):
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import time
 
 from waxwingshelf.serving import rate_limiter
+from waxwingshelf.steering.mirror import Position
 
 
 def drop_every_second(instance) -> None:
@@ -100,6 +102,35 @@
     run_scenario(scenario)
 
 
+def test_instance_that_is_behind_reads_from_peers_twice_a_second(run_scenario) -> None:
+    """It read with each heartbeat of a peer that was ahead, while changes came in series."""
+
+    async def scenario(deployment) -> None:
+        await deployment.add_target("t1")
+        names = [f"n{number}" for number in range(18)]
+        for name in names:
+            await deployment.start_instance(name)
+        await wait_until_large(deployment)
+        networks = [instance._peer_network for instance in deployment.instances.values()]
+        network = next(item for item in networks if not item.is_watching())
+        reads = []
+
+        async def read(host, port) -> None:
+            reads.append(time.monotonic())
+
+        network._pull = read
+        for peer in network._fleet.list_peers():
+            peer.position = Position(peer.position.era, peer.position.revision + 100)
+        for _ in range(100):
+            network._catch_up()
+            await asyncio.sleep(0.01)
+        assert len(reads) >= 2
+        gaps = [later - earlier for earlier, later in itertools.pairwise(reads)]
+        assert min(gaps) >= 0.4
+
+    run_scenario(scenario)
+
+
 def test_instances_agree_on_the_owner_of_each_rate(run_scenario) -> None:
     async def scenario(deployment) -> None:
         for name in [f"n{number}" for number in range(18)]:
