--- a/src/waxwingshelf/serving/internal_endpoints.py
+++ b/src/waxwingshelf/serving/internal_endpoints.py
@@ -92,6 +92,7 @@
             failure_domain,
             has_downloads,
             request.remote or "",
+            self._fleet.is_large(),
         )
         if not addresses:
             return web.Response(status=503)
--- a/tests/serving/test_large_fleet.py
+++ b/tests/serving/test_large_fleet.py
@@ -44,6 +44,20 @@
     run_scenario(scenario)
 
 
+def test_directory_names_a_subset_of_the_instances(run_scenario) -> None:
+    async def scenario(deployment) -> None:
+        names = [f"n{number}" for number in range(18)]
+        for name in names:
+            await deployment.start_instance(name)
+        await wait_until_large(deployment)
+        # A third of the failure domain, the same for this caller wherever it asks.
+        expected = set(await deployment.resolve("n0"))
+        assert len(expected) == 6
+        assert set(await deployment.resolve("n1")) == expected
+
+    run_scenario(scenario)
+
+
 def test_rate_owners_respond_and_enforce_the_rate(run_scenario, monkeypatch) -> None:
     unresponsive = []
     monkeypatch.setattr(
--- a/tests/steering/test_directory.py
+++ b/tests/steering/test_directory.py
@@ -86,6 +86,45 @@
     assert [address for address in before if address != before[1]] == after[:3]
 
 
+@pytest.mark.parametrize(
+    ("instances", "expected"),
+    [
+        # As many instances in each failure domain, which are three to a region.
+        (8 // 6, {"north-1": 1, "north-2": 1, "north-3": 1}),
+        (76 // 6, {"north-1": 4}),
+        (195 // 9, {"north-1": 7}),
+        (300 // 9, {"north-1": 11}),
+        # With few instances left, the loss of one of them would cost too much.
+        (3, {"north-1": 3, "north-2": 3, "north-3": 3}),
+    ],
+)
+def test_callers_of_a_large_fleet_get_a_subset_of_their_failure_domain(instances, expected) -> None:
+    """An instance got a few requests a second for hundreds of targets, and met none again."""
+    ready = make_addresses(dict.fromkeys(("north-1", "north-2", "north-3"), instances))
+    chosen = choose_addresses(
+        ready, frozenset(), "north", "north-1", caller="10.0.0.1", is_large_fleet=True
+    )
+    assert Counter(address.partition(".")[0] for address in chosen) == expected
+
+
+def test_no_instance_gets_more_than_three_times_its_part_of_the_callers() -> None:
+    """A few instances with fast links would get all callers."""
+    addresses = make_addresses({"north-1": 24})
+    ready = [
+        replace(address, link_mbps=60 if number < 3 else 6)
+        for number, address in enumerate(addresses)
+    ]
+    uses: Counter[str] = Counter()
+    for number in range(300):
+        chosen = choose_addresses(
+            ready, frozenset(), "north", "north-1", False, f"10.0.0.{number}", is_large_fleet=True
+        )
+        for address in chosen:
+            uses[address] += 1 / len(chosen)
+    assert len(uses) == 24
+    assert max(uses.values()) <= 3 * 300 / 24 + 1e-6
+
+
 def test_other_hosts_are_shared_by_the_region() -> None:
     counts = {"north-1": 6, "north-2": 5, "south-1": 5}
     assert choose_domains(counts, has_downloads=False) == {"north-1": 6, "north-2": 5}
