--- a/src/waxwingshelf/serving/object_announcements.py
+++ b/src/waxwingshelf/serving/object_announcements.py
@@ -1,4 +1,4 @@
-"""Tell the peers of the region at once where an object has probably become warm.
+"""In a large fleet, tell the peers of the region at once where an object has probably become warm.
 
 Load reports tell the same of each request, but later, and in a large fleet to some peers only. The
 few that do not know it are enough to run an object at a second target, since any instance may get
@@ -55,7 +55,9 @@
         peer_network.add_handler(OBJECT_TYPE, self._handle_object)
 
     def announce(self, state: TargetState, object_key: str) -> None:
-        """Tell the peers of the region that a request for an object was sent to a target."""
+        """In a large fleet, tell the region that a request for an object was sent to a target."""
+        if not self._fleet.is_large():
+            return
         message = ObjectSent(hash_object_key(object_key), hash_target_id(state.target.id))
         data = OBJECT_TYPE + msgspec.msgpack.encode(message)
         self._send(data)
--- a/tests/serving/test_object_announcements.py
+++ b/tests/serving/test_object_announcements.py
@@ -15,19 +15,27 @@
     return any(state.is_warm_for(OBJECT_KEY, now_ms) for state in states)
 
 
-async def start_instances(deployment, domains: dict[str, str]) -> None:
-    """Start instances in these failure domains, and wait until all hear each other."""
-    for name, domain in domains.items():
-        await deployment.start_instance(name, failure_domain=domain)
-    for name in domains:
-        await deployment.wait_until_ready(name)
+async def start_large_fleet(deployment, far: str = "") -> None:
+    """Start instances of one region, and one of another if it has a name; wait until all are heard.
+
+    Only a fleet of more than 16 announces objects.
+    """
+    names = [f"n{number}" for number in range(18)]
+    for name in names:
+        await deployment.start_instance(name)
+    if far:
+        await deployment.start_instance(far, failure_domain=OTHER_REGION_DOMAIN)
     instances = deployment.instances.values()
+    for name in deployment.instances:
+        await deployment.wait_until_ready(name)
     await deployment.wait_until(
         lambda: all(
-            len(instance._fleet.list_heard(instance._clock.now_ms())) == len(domains) - 1
-            for instance in instances
+            len([peer for peer in instance._fleet.list_region_peers() if peer.brief]) == 17
+            for name, instance in deployment.instances.items()
+            if name != far
         )
     )
+    assert all(instance._fleet.is_large() for instance in instances)
 
 
 def silence_load_reports(deployment) -> None:
@@ -41,8 +49,7 @@
 
     async def scenario(deployment) -> None:
         await deployment.add_target("t1", work_s=0.5)
-        domains = {"n0": "north-1", "n1": "north-1", "far": OTHER_REGION_DOMAIN}
-        await start_instances(deployment, domains)
+        await start_large_fleet(deployment, far="far")
         silence_load_reports(deployment)
         request = asyncio.create_task(deployment.send_request("/read/x", name="n0"))
         await deployment.wait_until(lambda: knows_object(deployment.instances["n1"]))
@@ -58,7 +65,7 @@
 
     async def scenario(deployment) -> None:
         await deployment.add_target("t1")
-        await start_instances(deployment, {"n0": "north-1", "n1": "north-1"})
+        await start_large_fleet(deployment)
         sent: list[bytes] = []
         network = deployment.instances["n0"]._peer_network
         send_to = network.send_to
@@ -71,8 +78,8 @@
         for _ in range(5):
             assert (await deployment.send_request("/read/x", name="n0")).status == 200
             await asyncio.sleep(0.1)
-        # The announcement of the first request, and its repetition.
-        assert sent.count(OBJECT_TYPE) == 2
+        # The announcement of the first request to each of 17 peers, and its repetition.
+        assert sent.count(OBJECT_TYPE) == 2 * 17
 
     run_scenario(scenario)
 
@@ -82,13 +89,13 @@
 
     async def scenario(deployment) -> None:
         await deployment.add_target("t1", work_s=0.5)
-        await start_instances(deployment, {"n0": "north-1", "n1": "north-1"})
+        await start_large_fleet(deployment)
         silence_load_reports(deployment)
         network = deployment.instances["n0"]._peer_network
         send_to, lost = network.send_to, []
 
         def lose_first(address, data: bytes) -> None:
-            if data[:1] == OBJECT_TYPE and not lost:
+            if data[:1] == OBJECT_TYPE and len(lost) < 17:
                 lost.append(data)
                 return
             send_to(address, data)
@@ -103,10 +110,28 @@
     run_scenario(scenario)
 
 
+def test_small_fleet_announces_nothing(run_scenario) -> None:
+    """Load reports reach all peers there, and targets that join get objects that are not known."""
+
+    async def scenario(deployment) -> None:
+        await deployment.add_target("t1")
+        for name in ("n0", "n1"):
+            await deployment.start_instance(name)
+            await deployment.wait_until_ready(name)
+        sent: list[bytes] = []
+        network = deployment.instances["n0"]._peer_network
+        network.send_to = lambda address, data: sent.append(data[:1])
+        assert (await deployment.send_request("/read/x", name="n0")).status == 200
+        await asyncio.sleep(0.2)
+        assert OBJECT_TYPE not in sent
+
+    run_scenario(scenario)
+
+
 def test_malformed_announcement_is_ignored(run_scenario) -> None:
     async def scenario(deployment) -> None:
         await deployment.add_target("t1")
-        await start_instances(deployment, {"n0": "north-1", "n1": "north-1"})
+        await start_large_fleet(deployment)
         network = deployment.instances["n0"]._peer_network
         for body in (b"", b"x", b"\x92\xa1x\x01", b"\x91\x01"):
             network.handle_datagram(OBJECT_TYPE + body, ("127.0.0.1", 9))
--- a/tests/steering/warm_replay.py
+++ b/tests/steering/warm_replay.py
@@ -116,7 +116,7 @@
             self.first_runs += 1
             served_at.append(state.target.id)
         instance.registry.record_send(state, key, self.now_ms)
-        if placement.may_be_first_run:
+        if placement.may_be_first_run and len(self.instances) > MAX_FULL_MESH:
             self._push(self.now_ms + ANNOUNCEMENT_MS, lambda: self._announce(key, state.target.id))
         state.in_flight[number] = self.now_ms + int(placement.cold_extra_ms)
         elapsed_ms = COLD_MS if is_first else WARM_MS
