--- a/src/waxwingshelf/serving/demand_tracker.py
+++ b/src/waxwingshelf/serving/demand_tracker.py
@@ -69,13 +69,17 @@
     def record_owned(self, organisations: Collection[str]) -> None:
         """Record whose rates this instance owns now; call this several times per second."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._owned_at_ms > _MAX_UPDATE_GAP_MS:
-            # Another instance may have owned them during a pause of this process.
-            self._owned_since_ms.clear()
-        self._owned_at_ms = now_ms
         self._owned_since_ms = {
-            name: self._owned_since_ms.get(name, now_ms) for name in organisations
+            name: now_ms - self._measure_owned_ms(name, now_ms) for name in organisations
         }
+        self._owned_at_ms = now_ms
+
+    def _measure_owned_ms(self, name: str, now_ms: int) -> int:
+        """Return for how long this instance has certainly been the owner of a rate."""
+        if now_ms - self._owned_at_ms > _MAX_UPDATE_GAP_MS:
+            # Another instance may have owned it during a pause of this process.
+            return 0
+        return now_ms - self._owned_since_ms.get(name, now_ms)
 
     def try_acquire(self, rule: OrganisationRule) -> RateBucket | None:
         """Count a request and take a token; return the bucket, or None if the bucket is empty."""
@@ -112,7 +116,7 @@
         if self._fleet.is_large():
             # At least one token, since the first requests may be seconds apart.
             token_ms = math.ceil(_MS_PER_S / (rule.rate_per_s * share))
-            owned_ms = now_ms - self._owned_since_ms.get(rule.name, now_ms)
+            owned_ms = self._measure_owned_ms(rule.name, now_ms)
             idle_ms = max(_HANDOVER_DURATION_MS, token_ms, owned_ms)
         else:
             idle_ms = now_ms - self._started_ms + START_DURATION_MS
--- a/tests/serving/test_demand_tracker.py
+++ b/tests/serving/test_demand_tracker.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import pytest
 from structlog.testing import capture_logs
 
 from waxwingshelf.core.clock import ManualClock
@@ -53,6 +54,32 @@
     assert lines[0]["silent_peers"] == 0
 
 
+@pytest.mark.parametrize(
+    ("pause_ms", "updates_after", "expected"), [(0, 0, 5), (3_000, 0, 1), (3_000, 2, 1)]
+)
+def test_owner_begins_with_what_it_gained_but_not_during_a_pause(
+    pause_ms, updates_after, expected
+) -> None:
+    """A process that was paused would admit what another owner has admitted meanwhile."""
+    clock = ManualClock()
+    rule = OrganisationRule("o", (), None, 2.0, 100.0)
+    fleet = Fleet("n0", 0, "north")
+    for number in range(1, INSTANCE_COUNT):
+        address = PeerAddress(f"n{number}", "north", "d", "127.0.0.1", 1, 2, "x")
+        fleet.record_registered(address)
+    tracker = DemandTracker(clock, fleet, OwnerReports("n0", "north"), 20.0)
+    for _ in range(12):
+        clock.advance(250)
+        tracker.record_owned(["o"])
+    clock.advance(pause_ms)
+    for _ in range(updates_after):
+        clock.advance(10)
+        tracker.record_owned(["o"])
+    admitted = sum(tracker.try_acquire(rule) is not None for _ in range(20))
+    # 2 tokens a second for the 2.75 s since the first update, or the one that each owner has.
+    assert admitted == expected
+
+
 def test_organisation_that_comes_back_gets_no_second_burst() -> None:
     """Guards against a limit that is counted anew when changes remove and restore its rule."""
     clock = ManualClock()
