Fail a send whose response has a malformed status line

An order whose target sent "HTTP/1.1 000 X" was answered with "HTTP/1.1 0 " and the target's body; 999 and 600 came as such, and so did 101, HTTP/2.0, HTTP/0.9, RTSP/1.0 and ICE/1.0 as a 200. Worse: a 000 with the header for "not run" was believed, so that an order that ran was sent again.

Cause: the head of a response was believed as the HTTP library's parser returned it, and that parser takes any three digits for a status, any of several protocols and versions for HTTP/1, any byte in a reason, and a 101 that nobody asked for. RFC 9110 section 15 allows 100 to 599; RFC 9112 section 4 says what a status line is.

Digits that are too few or too many, and text in place of a status, were failed sends before; these cases are kept as tests.

Change: CheckedResponseHandler, the base of the connections to targets and peers, checks each head. HeadScanner checks the bytes themselves, for the response to a request and interim responses before it, since the parser does not return the protocol's name; a head behind another response's body is put together again from what the parser returned. A response that came whole before the malformed bytes is still delivered.

Why it holds: every head passes the check before it is queued for its reader, whichever of the responses on the connection it is.

No reason, nothing behind the status, 299, 599, HTTP/1.0, every byte that a reason may hold, interim responses and bare line feeds arrive as before, with tests.

--- /dev/null
+++ b/src/waxwingshelf/checked_responses.py
@@ -0,0 +1,66 @@
+"""Client connections on which malformed responses are errors.
+
+The HTTP library's parser accepts heads that RFC 9112 does not allow. Such a response must reach no
+caller, and nothing that it says may be believed, such as that a request was not run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from waxwingshelf.core.response_heads import HeadScanner, build_head, find_head_fault
+
+__all__ = ["CheckedResponseHandler", "MalformedResponseError"]
+
+
+class MalformedResponseError(aiohttp.ClientError):
+    """A response that does not follow the grammar of HTTP/1."""
+
+
+class CheckedResponseHandler(ResponseHandler):
+    """A client connection that is reset when it brings a malformed head.
+
+    Responses that came before are still read; no reader gets the malformed one or a later one.
+    """
+
+    _is_failed = False
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._scanner = HeadScanner()
+
+    def set_response_params(self, **parameters: Any) -> None:
+        """Prepare for the response to the next request."""
+        self._scanner.start()
+        super().set_response_params(**parameters)
+
+    def data_received(self, data: bytes) -> None:
+        """Check the heads in received bytes and parse them, or reset the connection."""
+        fault = self._scanner.scan(data)
+        if fault is not None:
+            self._fail(MalformedResponseError(fault))
+            return
+        super().data_received(data)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the head of a response, or reset the connection if it is malformed."""
+        message, _ = data
+        if not self._scanner.take_checked():
+            fault = find_head_fault(
+                build_head(message.version, message.code, message.reason, message.raw_headers)
+            )
+            if fault is not None:
+                self._fail(MalformedResponseError(fault))
+        if not self._is_failed:
+            super().feed_data(data, size)
+
+    def _fail(self, error: aiohttp.ClientError) -> None:
+        """Reset the connection, and let its reader fail after the responses that are queued."""
+        self._is_failed = True
+        # The abort comes first, since it clears an error that no reader waits for.
+        self.abort()
+        self.set_exception(error)
--- a/src/waxwingshelf/serving/response_buffer.py
+++ b/src/waxwingshelf/serving/response_buffer.py
@@ -11,8 +11,8 @@
 
 import aiohttp
 import msgspec
-from aiohttp.client_proto import ResponseHandler
 
+from waxwingshelf.checked_responses import CheckedResponseHandler
 from waxwingshelf.steering.response_room import ResponseRoom, compute_budget_bytes, is_large
 
 __all__ = [
@@ -62,7 +62,7 @@
 UNKNOWN_USE = ConnectionUse()
 
 
-class BoundedResponseHandler(ResponseHandler):
+class BoundedResponseHandler(CheckedResponseHandler):
     """A client connection that is reset if it brings too many bytes outside awaited bodies.
 
     It remembers the requests that may be sent again after its response. A request id tells the
@@ -136,7 +136,7 @@
         """Parse received bytes, or reset the connection if there are too many."""
         self._unmatched_bytes += len(data)
         if not self._in_body and self._unmatched_bytes > _MAX_UNMATCHED_BYTES:
-            self._reset_connection(f"{self._unmatched_bytes} bytes")
+            self._fail(_build_limit_error(f"{self._unmatched_bytes} bytes"))
             return
         super().data_received(data)
 
@@ -144,14 +144,13 @@
         """Queue the head of a response, or reset the connection if there are too many."""
         self._unmatched_heads += 1
         if not self._in_body and self._unmatched_heads > _MAX_UNMATCHED_HEADS:
-            self._reset_connection(f"{self._unmatched_heads} responses")
+            self._fail(_build_limit_error(f"{self._unmatched_heads} responses"))
             return
         super().feed_data(data, size)
 
-    def _reset_connection(self, received: str) -> None:
-        # The abort comes first, since it clears an error that no reader waits for.
-        self.abort()
-        self.set_exception(ResponseLimitError(f"{received} without the awaited response"))
+
+def _build_limit_error(received: str) -> ResponseLimitError:
+    return ResponseLimitError(f"{received} without the awaited response")
 
 
 class ResponseHold:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -16,7 +16,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["Arrival", "PlatformTargetStandIn", "ResponseMode"]
+__all__ = ["REQUEST_ID", "Arrival", "PlatformTargetStandIn", "ResponseMode"]
+
+# Stands for the id of the request in `PlatformTargetStandIn.raw_response`.
+REQUEST_ID = b"REQUEST_ID"
 
 _MS_PER_S = 1_000
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -30,7 +33,9 @@
     UNSIGNED omits the signature, and EXTRA sends a second response. The UNFRAMED modes send a body
     without a length and then reset or close the connection. The ENDLESS modes send bytes without
     end: as a body without a length, as a chunked body, as header lines, as interim responses, or as
-    responses to other requests.
+    responses to other requests. RAW sends `raw_response`. The EARLY modes send the beginning of a
+    body without a length before they have read the request's body, and then reset the connection
+    or end the response.
     """
 
     NORMAL = "normal"
@@ -43,6 +48,9 @@
     CLOSE_UNFRAMED = "close_unframed"
     EXTRA = "extra"
     UNSIGNED = "unsigned"
+    RAW = "raw"
+    EARLY_RESET = "early_reset"
+    EARLY_CLOSE = "early_close"
     ENDLESS_BODY = "endless_body"
     ENDLESS_CHUNKED = "endless_chunked"
     ENDLESS_HEAD = "endless_head"
@@ -50,6 +58,9 @@
     ENDLESS_OTHERS = "endless_others"
 
 
+_EARLY_MODES = (ResponseMode.EARLY_RESET, ResponseMode.EARLY_CLOSE)
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A request that arrived, the number of its connection, and whether it ran."""
@@ -65,6 +76,8 @@
 
     Responses name `idle_timeout_s` if it is set, but connections stay open.
 
+    `raw_response` holds the bytes of a response, with `REQUEST_ID` in place of the request's id.
+
     Response bodies are filled up to `body_bytes` for paths that contain `large_path`.
 
     If `slots` is set, so many requests run at a time and `queue_length` more wait. Further ones,
@@ -104,6 +117,7 @@
         self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], Awaitable[None]] = _do_nothing
         self.response_mode = ResponseMode.NORMAL
+        self.raw_response = b""
         self.failure_status = 500
         self.runs: Counter[str] = Counter()
         self.request_heads: list[tuple[str, dict[str, str]]] = []
@@ -180,10 +194,13 @@
             name.lower(): value.strip()
             for name, _, value in (line.partition(":") for line in header_lines if line)
         }
+        request_id = headers.get("attempt-id", "")
+        if self.response_mode in _EARLY_MODES:
+            await self._respond_early(reader, writer, request_id)
+            return False
         body = await _read_body(reader, headers)
         self.request_heads.append((request_line, headers))
         self.request_bodies.append(body)
-        request_id = headers.get("attempt-id", "")
         if self.repeats_rejections and (rejection := self._rejections.pop(writer, None)):
             writer.write(rejection)
         if headers.get("expected-instance", self.id) != self.id:
@@ -204,6 +221,23 @@
         finally:
             self._return_slot()
 
+    async def _respond_early(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
+    ) -> None:
+        """Respond without a length while the request's body is still being sent."""
+        self.runs[request_id] += 1
+        self._record_arrival(writer, request_id, ran=True)
+        body = f"answer to {request_id}".encode()
+        writer.write(_build_unframed_response(request_id, body, ["Server-Signature: ok"]))
+        await writer.drain()
+        if self.response_mode is ResponseMode.EARLY_RESET:
+            await asyncio.sleep(0.02)
+            _reset_connection(writer)
+            return
+        writer.write_eof()
+        while await reader.read(_PART_BYTES):
+            pass
+
     def _reject(
         self, writer: asyncio.StreamWriter, status: int, request_id: str, headers: list[str]
     ) -> None:
@@ -287,6 +321,9 @@
         if self.response_mode in _ENDLESS_PARTS:
             await _send_endless(writer, request_id, self.response_mode)
             return False
+        if self.response_mode is ResponseMode.RAW:
+            writer.write(self.raw_response.replace(REQUEST_ID, request_id.encode()))
+            return True
         body = f"answer to {request_id}".encode()
         if self.large_path in request_line:
             body = body.ljust(self.body_bytes, b".")
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -203,9 +203,15 @@
 
 @pytest.fixture
 def run_scenario() -> Callable[[Callable[[Deployment], Awaitable[None]]], None]:
-    """Return a function that runs a scenario with one store that holds the configuration."""
+    """Return a function that runs a scenario with one store that holds the configuration.
 
-    def run(scenario: Callable[[Deployment], Awaitable[None]]) -> None:
+    Its second argument is `uvloop.run` for the event loop that instances have when deployed.
+    """
+
+    def run(
+        scenario: Callable[[Deployment], Awaitable[None]],
+        run_loop: Callable[[Coroutine[Any, Any, None]], None] = asyncio.run,
+    ) -> None:
         async def main() -> None:
             async with aiohttp.ClientSession() as session:
                 deployment = Deployment(session, PlatformStoreStandIn(), find_ports(1)[0])
@@ -217,6 +223,6 @@
                 finally:
                     await deployment.stop()
 
-        asyncio.run(main())
+        run_loop(main())
 
     return run
--- /dev/null
+++ b/tests/serving/test_malformed_responses.py
@@ -0,0 +1,206 @@
+"""Malformed responses are failed sends, and unusual well-formed ones arrive unchanged.
+
+The bytes come over sockets, under the event loop that instances have when deployed.
+"""
+
+import asyncio
+import time
+
+import pytest
+import uvloop
+from multidict import CIMultiDict
+
+from standins.platform_target import REQUEST_ID, PlatformTargetStandIn, ResponseMode
+from tests.serving.clients import build_upstream_client
+from waxwingshelf.serving.send_results import (
+    FailureKind,
+    OutgoingRequest,
+    SendFailure,
+    UpstreamResponse,
+)
+from waxwingshelf.steering.fleet import PeerAddress
+from waxwingshelf.steering.targets import Target
+
+TIMEOUT_MS = 2_000
+PROMPT_S = 0.6
+FIELDS = b"Attempt-Id: %b\r\nServer-Signature: ok\r\n" % REQUEST_ID
+LENGTH = b"Content-Length: 5\r\n"
+BODY = b"hello"
+
+
+def build_raw(
+    status_line: bytes = b"HTTP/1.1 200 OK", fields: bytes = LENGTH, body: bytes = BODY
+) -> bytes:
+    return status_line + b"\r\n" + FIELDS + fields + b"\r\n" + body
+
+
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+FOREIGN = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+
+MALFORMED_STATUS_LINES = {
+    "status 000": b"HTTP/1.1 000 X",
+    "status 001": b"HTTP/1.1 001 X",
+    "status 099": b"HTTP/1.1 099 X",
+    "status 600": b"HTTP/1.1 600 X",
+    "status 999": b"HTTP/1.1 999 X",
+    "two digits": b"HTTP/1.1 20 X",
+    "four digits": b"HTTP/1.1 2000 X",
+    "no status": b"HTTP/1.1  X",
+    "no blank before the reason": b"HTTP/1.1 200OK",
+    "upgrade that was not asked for": b"HTTP/1.1 101 Switching Protocols",
+    "version 0.9": b"HTTP/0.9 200 OK",
+    "version 2.0": b"HTTP/2.0 200 OK",
+    "another protocol": b"RTSP/1.0 200 OK",
+    "a third protocol": b"ICE/1.0 200 OK",
+    "null in the reason": b"HTTP/1.1 200 O\x00K",
+    "control byte in the reason": b"HTTP/1.1 200 O\x01K",
+    "delete byte in the reason": b"HTTP/1.1 200 O\x7fK",
+}
+MALFORMED = {name: build_raw(line) for name, line in MALFORMED_STATUS_LINES.items()} | {
+    "status 000 without a body": build_raw(b"HTTP/1.1 000 X", b"", b""),
+    "rejection with status 000": build_raw(b"HTTP/1.1 000 X", LENGTH + b"Not-Executed: 1\r\n"),
+    "interim status 000": build_raw(b"HTTP/1.1 000 X", b"", b"") + build_raw(),
+    "status 000 behind an interim response": INTERIM + build_raw(b"HTTP/1.1 000 X"),
+    "another protocol behind an interim response": INTERIM + build_raw(b"RTSP/1.0 200 OK"),
+    "status 000 behind another response": FOREIGN + build_raw(b"HTTP/1.1 000 X"),
+}
+WELL_FORMED = {
+    "no reason": build_raw(b"HTTP/1.1 200 "),
+    "nothing behind the status": build_raw(b"HTTP/1.1 200"),
+    "status 299": build_raw(b"HTTP/1.1 299 Unusual"),
+    "status 599": build_raw(b"HTTP/1.1 599 Unusual"),
+    "version 1.0": build_raw(b"HTTP/1.0 200 OK"),
+    "every byte that a reason may hold": build_raw(
+        b"HTTP/1.1 200 " + bytes([9, *range(0x20, 0x7F), *range(0x80, 0x100)])
+    ),
+    "empty line before the status line": b"\r\n" + build_raw(),
+    "line feeds alone": build_raw().replace(b"\r\n", b"\n"),
+    "interim responses": INTERIM + b"HTTP/1.1 199 Wait\r\n\r\n" + build_raw(),
+    "body behind an interim response with a length": (
+        INTERIM.replace(b"Link: </a>", b"Content-Length: 9") + build_raw()
+    ),
+    "another response before": FOREIGN + build_raw(),
+}
+
+
+def run_with_target(scenario):
+    """Run a scenario with a target and a client, and return its result."""
+
+    async def main():
+        target = PlatformTargetStandIn("t")
+        await target.start()
+        client = build_upstream_client()
+        try:
+            return await scenario(target, client)
+        finally:
+            await client.close()
+            await target.stop()
+
+    return uvloop.run(main())
+
+
+async def send(target, client, request_id="id-0", method="POST", is_peer=False):
+    """Send one request to the target, or to a peer that answers in the same way."""
+    entry = Target("t", "work", "127.0.0.1", target.port, "north-1", "", 4, False, 0, 0)
+    headers = CIMultiDict({"Attempt-Id": request_id, "Expected-Instance": "t"})
+    request = OutgoingRequest(method, "/x", headers, None, request_id)
+    if is_peer:
+        peer = PeerAddress("n1", "north", "north-1", "127.0.0.1", 0, target.port, "")
+        return await client.fetch_through(peer, entry, request, TIMEOUT_MS)
+    return await client.send(entry, request, TIMEOUT_MS)
+
+
+def set_raw_response(target, raw):
+    target.response_mode = ResponseMode.RAW
+    target.raw_response = raw
+
+
+def list_statuses(raw):
+    """Return the statuses of the response heads, for cases in which each starts a line."""
+    return [int(line[9:12]) for line in raw.splitlines() if line.startswith(b"HTTP/1.")]
+
+
+@pytest.mark.parametrize("is_peer", [False, True], ids=["target", "peer"])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("case", sorted(MALFORMED))
+def test_malformed_response_is_a_failed_send(case, method, is_peer) -> None:
+    """They were delivered as the target's answer, which no caller can understand."""
+
+    async def scenario(target, client):
+        set_raw_response(target, MALFORMED[case])
+        began_s = time.monotonic()
+        result = await send(target, client, method=method, is_peer=is_peer)
+        assert isinstance(result, SendFailure), result
+        assert result.kind is FailureKind.BROKEN
+        assert not result.kind.certainly_not_run
+        assert time.monotonic() - began_s < PROMPT_S
+        target.response_mode = ResponseMode.NORMAL
+        following = await send(target, client, "id-1", is_peer=is_peer)
+        assert isinstance(following, UpstreamResponse), following
+        assert following.body == b"answer to id-1"
+        assert target.connections == 2
+        assert target.runs == {"id-0": 1, "id-1": 1}
+
+    run_with_target(scenario)
+
+
+@pytest.mark.parametrize("case", sorted(WELL_FORMED))
+def test_unusual_response_arrives_unchanged(case) -> None:
+    async def scenario(target, client):
+        set_raw_response(target, WELL_FORMED[case])
+        result = await send(target, client)
+        assert isinstance(result, UpstreamResponse), result
+        assert result.status == list_statuses(WELL_FORMED[case])[-1]
+        assert result.body == BODY
+        assert result.headers["Server-Signature"] == "ok"
+
+    run_with_target(scenario)
+
+
+def test_malformed_bytes_behind_a_response_end_only_the_connection() -> None:
+    async def scenario(target, client):
+        set_raw_response(target, build_raw() + build_raw(b"HTTP/1.1 000 X"))
+        result = await send(target, client)
+        assert isinstance(result, UpstreamResponse), result
+        assert result.body == BODY
+        target.response_mode = ResponseMode.NORMAL
+        assert isinstance(await send(target, client, "id-1"), UpstreamResponse)
+        assert target.connections == 2
+
+    run_with_target(scenario)
+
+
+@pytest.mark.parametrize("case", sorted(MALFORMED))
+def test_no_caller_gets_a_malformed_response(run_scenario, case) -> None:
+    async def scenario(deployment) -> None:
+        malformed = await deployment.add_target("t1")
+        set_raw_response(malformed, MALFORMED[case])
+        await deployment.start_instance("n0")
+        await deployment.wait_until_ready("n0")
+        order = await deployment.send_request("/order/x", method="POST", Attempt_Id="order")
+        assert order.status == 502
+        assert malformed.runs["order"] == 1
+        await deployment.add_target("t2")
+        await asyncio.sleep(0.2)
+        reads = [await deployment.send_request("/read/x", Affinity_Key=str(n)) for n in range(8)]
+        assert {read.status for read in reads} == {200}
+        assert {read.headers["Server-Signature"] for read in reads} == {"ok"}
+        assert all(read.body.startswith(b"answer to") for read in reads)
+
+    run_scenario(scenario, uvloop.run)
+
+
+@pytest.mark.parametrize("case", ["no reason", "status 299", "status 599"])
+def test_caller_gets_an_unusual_response_unchanged(run_scenario, case) -> None:
+    async def scenario(deployment) -> None:
+        target = await deployment.add_target("t1")
+        set_raw_response(target, WELL_FORMED[case])
+        await deployment.start_instance("n0")
+        await deployment.wait_until_ready("n0")
+        response = await deployment.send_request("/order/x", method="POST", Attempt_Id="order")
+        assert response.status == list_statuses(WELL_FORMED[case])[-1]
+        assert response.headers["Server-Signature"] == "ok"
+        assert response.headers["Attempt-Id"] == "order"
+        assert response.body == BODY
+
+    run_scenario(scenario, uvloop.run)
--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -5,8 +5,9 @@
 import copy
 
 import pytest
+import uvloop
 
-from standins.platform_target import ResponseMode
+from standins.platform_target import REQUEST_ID, ResponseMode
 from tests.serving.conftest import CONFIG
 from tests.serving.target_links import Cut, TargetLinks, open_unresponsive_port
 from waxwingshelf.serving.relay_messages import build_relay_path, split_relay_path
@@ -49,7 +50,7 @@
 def run_cut_scenario(run_scenario):
     """Return a function that runs a scenario with an instance whose links can be cut."""
 
-    def run(scenario) -> None:
+    def run(scenario, run_loop=asyncio.run) -> None:
         async def with_links(deployment) -> None:
             with open_unresponsive_port() as port:
                 links = TargetLinks(port)
@@ -58,7 +59,7 @@
                 finally:
                     links.stop()
 
-        run_scenario(with_links)
+        run_scenario(with_links, run_loop)
 
     return run
 
@@ -126,6 +127,33 @@
     run_cut_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("status_line", "status"),
+    [
+        (b"HTTP/1.1 000 X", 502),
+        (b"RTSP/1.0 200 OK", 502),
+        (b"HTTP/1.1 299", 299),
+        (b"HTTP/1.1 599 Unusual", 599),
+    ],
+)
+def test_only_well_formed_responses_come_through_a_peer(
+    run_cut_scenario, status_line, status
+) -> None:
+    async def scenario(cut: CutInstance) -> None:
+        await cut.start(peers=2)
+        await cut.cut()
+        cut.target.response_mode = ResponseMode.RAW
+        fields = b"Attempt-Id: %b\r\nServer-Signature: raw\r\n" % REQUEST_ID
+        cut.target.raw_response = status_line + b"\r\n" + fields + b"Content-Length: 2\r\n\r\nok"
+        response = await cut.deployment.send_request("/order/x", method="POST", Attempt_Id="one")
+        assert response.status == status
+        assert cut.target.runs["one"] == 1
+        assert (response.body == b"ok") == (status != 502)
+        assert (response.headers.get("Server-Signature") == "raw") == (status != 502)
+
+    run_cut_scenario(scenario, uvloop.run)
+
+
 def test_order_at_a_peer_that_is_lost_is_not_sent_again(run_cut_scenario) -> None:
     async def scenario(cut: CutInstance) -> None:
         await cut.start(peers=2, work_s=0.5)
