Fail a send whose response is in a transfer coding that is not undone

What callers saw: a 200 with a body that was not the target's: the chunks as they were sent ("chunked, gzip", "chunked;a=b", "chunked,", an unknown coding), or the bytes of another coding ("gzip, chunked", also in two fields) without the field that names it, as that concerns one connection only.

Cause: the HTTP library undoes "chunked" where it is the last coding, and passes on whatever is left; where it is not the last one it reads until the connection ends. RFC 9112 sections 6.1 and 6.3: the body is had by undoing all codings; in HTTP/1.0 the field means that the framing is faulty.

Failed sends before, kept as tests, nothing changed: a length that is no number, two lengths, a length beside a coding, a missing last chunk, a body shorter than its length.

Change: CheckedResponseHandler also compares the field with what the parser undid: nothing, "identity", or "chunked" alone pass. Responses without a body (HEAD, 1xx, 204, 304) may name any coding. Otherwise the connection is reset and the send is broken, as with a malformed head.

--- a/src/waxwingshelf/checked_responses.py
+++ b/src/waxwingshelf/checked_responses.py
@@ -1,7 +1,8 @@
 """Client connections on which malformed responses are errors.
 
-The HTTP library's parser accepts heads that RFC 9112 does not allow. Such a response must reach no
-caller, and nothing that it says may be believed, such as that a request was not run.
+The HTTP library's parser accepts heads that RFC 9112 does not allow, and bodies in transfer codings
+that it cannot undo. Such a response must reach no caller, and nothing that it says may be believed,
+such as that a request was not run.
 """
 
 from __future__ import annotations
@@ -11,8 +12,15 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
+from aiohttp.http_parser import RawResponseMessage
 
-from waxwingshelf.core.response_heads import HeadScanner, build_head, find_head_fault
+from waxwingshelf.core.response_heads import (
+    HeadScanner,
+    build_head,
+    find_coding_fault,
+    find_head_fault,
+)
 
 __all__ = ["CheckedResponseHandler", "MalformedResponseError"]
 
@@ -49,14 +57,23 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queue the head of a response, or reset the connection if it is malformed."""
         message, _ = data
+        fault = self._find_fault(message)
+        if fault is not None:
+            self._fail(MalformedResponseError(fault))
+        if not self._is_failed:
+            super().feed_data(data, size)
+
+    def _find_fault(self, message: RawResponseMessage) -> str | None:
         if not self._scanner.take_checked():
             fault = find_head_fault(
                 build_head(message.version, message.code, message.reason, message.raw_headers)
             )
             if fault is not None:
-                self._fail(MalformedResponseError(fault))
-        if not self._is_failed:
-            super().feed_data(data, size)
+                return fault
+        codings = message.headers.getall("Transfer-Encoding", ())
+        if not codings or self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
+            return None
+        return find_coding_fault(message.version, ",".join(codings), message.chunked)
 
     def _fail(self, error: aiohttp.ClientError) -> None:
         """Reset the connection, and let its reader fail after the responses that are queued."""
--- a/src/waxwingshelf/core/response_heads.py
+++ b/src/waxwingshelf/core/response_heads.py
@@ -1,4 +1,4 @@
-"""Check the heads of HTTP/1 responses; sections 4 and 5 of RFC 9112 say how they are written.
+"""Check the heads of HTTP/1 responses; sections 4 to 6 of RFC 9112 say how they are written.
 
 Parsers of HTTP clients are lenient, and what they accept differs. A head that breaks the grammar
 says nothing reliable about the response: neither what its status is nor where its body ends.
@@ -9,7 +9,7 @@
 import re
 from collections.abc import Iterable
 
-__all__ = ["HeadScanner", "build_head", "find_head_fault"]
+__all__ = ["HeadScanner", "build_head", "find_coding_fault", "find_head_fault"]
 
 # A status is valid from 100 to 599 (section 15 of RFC 9110). No request asks for an upgrade, so
 # that 101 answers none. Clients may accept a missing reason without the blank before it.
@@ -23,6 +23,7 @@
 _INTERIM_HEAD = re.compile(rb"HTTP/1\.\d 1")
 _EMPTY_LINES = b"\r\n"
 _MAX_QUOTED_BYTES = 60
+_FIRST_VERSION_WITH_CODINGS = (1, 1)
 
 
 def find_head_fault(head: bytes) -> str | None:
@@ -37,6 +38,19 @@
     return f"field name {faulty.partition(b':')[0][:_MAX_QUOTED_BYTES]!r}"
 
 
+def find_coding_fault(version: tuple[int, int], codings: str, is_chunked: bool) -> str | None:
+    """Return why a body cannot be had from its transfer codings, or None.
+
+    `codings` is the value of the field that lists them, or an empty string. `is_chunked` says
+    whether the parser takes the chunks apart, which is the only coding that it can undo.
+    """
+    names = [name for part in codings.split(",") if (name := part.strip().lower())]
+    if version >= _FIRST_VERSION_WITH_CODINGS or not codings:
+        if names == ["chunked"] if is_chunked else names in ([], ["identity"]):
+            return None
+    return f"transfer coding {codings[:_MAX_QUOTED_BYTES]!r}"
+
+
 def build_head(
     version: tuple[int, int], status: int, reason: str, fields: Iterable[tuple[bytes, bytes]]
 ) -> bytes:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -77,6 +77,7 @@
     Responses name `idle_timeout_s` if it is set, but connections stay open.
 
     `raw_response` holds the bytes of a response, with `REQUEST_ID` in place of the request's id.
+    The connection is closed behind a response that says so.
 
     Response bodies are filled up to `body_bytes` for paths that contain `large_path`.
 
@@ -323,7 +324,7 @@
             return False
         if self.response_mode is ResponseMode.RAW:
             writer.write(self.raw_response.replace(REQUEST_ID, request_id.encode()))
-            return True
+            return b"Connection: close" not in self.raw_response
         body = f"answer to {request_id}".encode()
         if self.large_path in request_line:
             body = body.ljust(self.body_bytes, b".")
--- a/tests/serving/test_malformed_responses.py
+++ b/tests/serving/test_malformed_responses.py
@@ -98,6 +98,36 @@
     ),
 }
 MALFORMED |= {name: build_raw(fields=fields) for name, fields in MALFORMED_FIELDS.items()}
+UNDECODABLE_CODINGS = {
+    "coding below chunked": b"gzip, chunked",
+    "coding below chunked in two fields": b"gzip\r\nTransfer-Encoding: chunked",
+    "coding above chunked": b"chunked, gzip",
+    "unknown coding": b"xchunked",
+    "parameter of chunked": b"chunked;a=b",
+    "chunked twice": b"chunked, chunked",
+    "comma behind chunked": b"chunked,",
+}
+
+
+def build_coded(codings: bytes, status_line: bytes = b"HTTP/1.1 200 OK") -> bytes:
+    fields = b"Transfer-Encoding: %b\r\nConnection: close\r\n" % codings
+    return build_raw(status_line, fields, CHUNKED_BODY)
+
+
+MALFORMED |= {name: build_coded(codings) for name, codings in UNDECODABLE_CODINGS.items()} | {
+    "coding in version 1.0": build_coded(b"chunked", b"HTTP/1.0 200 OK"),
+    "coding behind another response": FOREIGN + build_coded(b"gzip, chunked"),
+    "length that is no number": build_raw(fields=b"Content-Length: +5\r\n"),
+    "two lengths": build_raw(fields=b"Content-Length: 4\r\nContent-Length: 5\r\n"),
+    "length and coding": build_raw(
+        fields=LENGTH + b"Transfer-Encoding: chunked\r\n", body=CHUNKED_BODY
+    ),
+    "last chunk is missing": build_raw(
+        fields=b"Transfer-Encoding: chunked\r\nConnection: close\r\n", body=CHUNKED_BODY[:-5]
+    ),
+    "body shorter than its length": build_raw(fields=b"Content-Length: 6\r\nConnection: close\r\n"),
+}
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 EVERY_TOKEN_BYTE = b"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
 EVERY_VALUE_BYTE = bytes([9, *range(0x20, 0x7F), *range(0x80, 0x100)])
 UTF8_VALUE = bytes([9, *range(0x20, 0x7F)]) + "\u00e9\u20ac".encode()
@@ -119,6 +149,18 @@
         fields=LENGTH + EVERY_TOKEN_BYTE + b": 1\r\nX-Value: a" + UTF8_VALUE + b"z\r\n"
         b"X-Empty:\r\nX-Tight:1\r\nX-Blanks:\t  1 \t\r\n"
     ),
+    "body that ends with its connection": build_raw(fields=b"Connection: close\r\n"),
+    "no coding": build_raw(fields=b"Transfer-Encoding: identity\r\nConnection: close\r\n"),
+    "chunked in capitals": build_raw(fields=CHUNKED.upper(), body=CHUNKED_BODY),
+    "comma before chunked": build_raw(
+        fields=b"Transfer-Encoding: , chunked \r\n", body=CHUNKED_BODY
+    ),
+    "chunks with extensions and trailers": build_raw(
+        fields=CHUNKED, body=b"2;a=b\r\nhe\r\n03\r\nllo\r\n0\r\nX-Sum: 1\r\n\r\n"
+    ),
+    "interim response with a coding": (
+        INTERIM.replace(b"Link: </a>", b"Transfer-Encoding: gzip") + build_raw()
+    ),
     "many fields": build_raw(fields=LENGTH + b"X-Odd: 1\r\n" * 100),
 }
 
@@ -150,6 +192,24 @@
     return await client.send(entry, request, TIMEOUT_MS)
 
 
+@pytest.mark.parametrize("fields", [LENGTH, CHUNKED, b"Transfer-Encoding: gzip, chunked\r\n"])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_response_without_a_body_arrives_whatever_it_says_of_one(method, fields) -> None:
+    """RFC 9112, section 6.3: it ends with its head, which tells what a body would be like."""
+
+    async def scenario(target, client):
+        status_line = b"HTTP/1.1 304 X" if method == "GET" else b"HTTP/1.1 200 OK"
+        set_raw_response(target, build_raw(status_line, fields, b""))
+        for number in range(2):
+            result = await send(target, client, f"id-{number}", method)
+            assert isinstance(result, UpstreamResponse), result
+            assert result.status == int(status_line[9:12])
+            assert result.body == b""
+        assert target.runs == {"id-0": 1, "id-1": 1}
+
+    run_with_target(scenario)
+
+
 def set_raw_response(target, raw):
     target.response_mode = ResponseMode.RAW
     target.raw_response = raw
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from waxwingshelf.core.response_heads import HeadScanner, build_head, find_head_fault
+from waxwingshelf.core.response_heads import (
+    HeadScanner,
+    build_head,
+    find_coding_fault,
+    find_head_fault,
+)
 
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 FINAL = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
@@ -24,6 +29,25 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("codings", "is_chunked", "is_decodable"),
+    [
+        ("", False, True),
+        ("identity", False, True),
+        ("chunked", True, True),
+        (" , Chunked", True, True),
+        ("chunked", False, False),
+        ("gzip,chunked", True, False),
+        ("chunked,chunked", True, False),
+        ("chunked,gzip", False, False),
+        ("gzip", False, False),
+    ],
+)
+def test_body_is_had_only_without_codings_or_in_chunks(codings, is_chunked, is_decodable) -> None:
+    assert (find_coding_fault((1, 1), codings, is_chunked) is None) == is_decodable
+    assert (find_coding_fault((1, 0), codings, is_chunked) is None) == (codings == "")
+
+
 def scan_parts(parts):
     scanner = HeadScanner()
     scanner.start()
