Let the store's, the peers' and the own interface's readers fail on malformed responses

What callers saw, or could: a 000 or 101 of a target as an answer of the product's own interface, also for an order; a target held for healthy on a malformed 200; a state of a peer taken over from a malformed response; and a store's 000 taken for its word that nothing was written, after a write that may have taken effect (StoreErrorKind.REFUSED, StoreError).

Their connections were the library's own.

Change: build_connector opens connections that check responses; the sessions of serving/client_sessions.py have them unless they ask for others, and the adapters and the command line's client use it. What the readers do with a broken response stays: "broken", "down", a result that is not known.

Why it holds: all sessions of src/ get their connections from build_connector now. Reachability probes read no response; peers of the own interface do not speak HTTP.

A head without a reason and a name of every kind of byte are understood by each reader.

--- a/src/waxwingshelf/adapters/store_http.py
+++ b/src/waxwingshelf/adapters/store_http.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from waxwingshelf.checked_responses import build_connector
 from waxwingshelf.ports import StoredValue, StoreError, StoreTimeoutError
 
 __all__ = ["HttpStore"]
@@ -83,5 +84,5 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=build_connector())
         return self._session
--- a/src/waxwingshelf/adapters/target_http.py
+++ b/src/waxwingshelf/adapters/target_http.py
@@ -10,6 +10,7 @@
 import aiohttp
 from multidict import CIMultiDict
 
+from waxwingshelf.checked_responses import build_connector
 from waxwingshelf.core.manifest import Target
 from waxwingshelf.core.targets import Health
 
@@ -182,9 +183,9 @@
     def _get_session(self, reuse_connections: bool) -> aiohttp.ClientSession:
         if self._pooled_session is None or self._unpooled_session is None:
             self._pooled_session = _build_session(
-                aiohttp.TCPConnector(limit=0, limit_per_host=_MAX_CONNECTIONS_PER_TARGET)
+                build_connector(limit=0, limit_per_host=_MAX_CONNECTIONS_PER_TARGET)
             )
-            self._unpooled_session = _build_session(aiohttp.TCPConnector(limit=0, force_close=True))
+            self._unpooled_session = _build_session(build_connector(limit=0, force_close=True))
         return self._pooled_session if reuse_connections else self._unpooled_session
 
 
--- a/src/waxwingshelf/checked_responses.py
+++ b/src/waxwingshelf/checked_responses.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -22,7 +24,7 @@
     find_head_fault,
 )
 
-__all__ = ["CheckedResponseHandler", "MalformedResponseError"]
+__all__ = ["CheckedResponseHandler", "MalformedResponseError", "build_connector"]
 
 
 class MalformedResponseError(aiohttp.ClientError):
@@ -81,3 +83,17 @@
         # The abort comes first, since it clears an error that no reader waits for.
         self.abort()
         self.set_exception(error)
+
+
+def build_connector(
+    handler_class: Callable[..., ResponseHandler] = CheckedResponseHandler,
+    connector_class: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
+    **options: Any,
+) -> aiohttp.TCPConnector:
+    """Return a pool of connections of `handler_class`; an event loop must be running.
+
+    `options` are those of `connector_class`.
+    """
+    connector = connector_class(**options)
+    connector._factory = functools.partial(handler_class, loop=asyncio.get_running_loop())
+    return connector
--- a/src/waxwingshelf/program/client.py
+++ b/src/waxwingshelf/program/client.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from waxwingshelf.checked_responses import build_connector
+
 __all__ = ["AdminClient", "AdminError"]
 
 _TIMEOUT_S = 20.0
@@ -58,7 +60,7 @@
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                aiohttp.ClientSession(connector=build_connector(), timeout=timeout) as session,
                 session.request(method, url, headers=headers, data=data) as response,
             ):
                 document = msgspec.json.decode(await response.read())
--- a/src/waxwingshelf/serving/client_sessions.py
+++ b/src/waxwingshelf/serving/client_sessions.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import functools
 import socket
 import struct
 from collections.abc import Callable
@@ -12,6 +10,8 @@
 from aiohappyeyeballs import AddrInfoType
 from aiohttp.client_proto import ResponseHandler
 
+from waxwingshelf.checked_responses import CheckedResponseHandler, build_connector
+
 __all__ = ["SocketFactory", "build_session", "open_client_socket"]
 
 _TCP_USER_TIMEOUT_MS = 2_000
@@ -44,20 +44,21 @@
     max_connections_per_host: int = 0,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
     request_class: type[aiohttp.ClientRequest] = aiohttp.ClientRequest,
-    protocol_class: Callable[..., ResponseHandler] = ResponseHandler,
+    protocol_class: Callable[..., ResponseHandler] = CheckedResponseHandler,
     connector_class: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
     open_socket: SocketFactory = open_client_socket,
     timeout: aiohttp.ClientTimeout = _NO_TIMEOUT,
 ) -> aiohttp.ClientSession:
     """Return a session that neither decompresses bodies nor retries requests on its own."""
-    connector = connector_class(
+    connector = build_connector(
+        protocol_class,
+        connector_class,
         limit=0,
         limit_per_host=max_connections_per_host,
         keepalive_timeout=keepalive_s,
         use_dns_cache=False,
         socket_factory=open_socket,
     )
-    connector._factory = functools.partial(protocol_class, loop=asyncio.get_running_loop())
     session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/tests/serving/test_malformed_responses.py
+++ b/tests/serving/test_malformed_responses.py
@@ -11,7 +11,9 @@
 from multidict import CIMultiDict
 
 from standins.platform_target import REQUEST_ID, PlatformTargetStandIn, ResponseMode
+from standins.raw_server import RawServerStandIn
 from tests.serving.clients import build_upstream_client
+from waxwingshelf.serving.peers import STATE_PATH
 from waxwingshelf.serving.send_results import (
     FailureKind,
     OutgoingRequest,
@@ -338,3 +340,27 @@
         assert response.body == BODY
 
     run_scenario(scenario, uvloop.run)
+
+
+@pytest.mark.parametrize(
+    ("status_line", "result"),
+    [(b"HTTP/1.1 200", "ok"), (b"HTTP/1.1 000 X", "failed"), (b"ICE/1.0 200 OK", "failed")],
+)
+def test_state_of_a_peer_is_taken_only_from_a_well_formed_response(
+    run_scenario, status_line, result
+) -> None:
+    async def scenario(deployment) -> None:
+        instance = await deployment.start_instance("n0")
+        await deployment.wait_until_ready("n0")
+        endpoint = deployment.settings["n0"].peer_state
+        _, state = await deployment.fetch(endpoint, f"{STATE_PATH}?after=0&era=0")
+        head = status_line + b"\r\nContent-Length: %d\r\n\r\n" % len(state)
+        server = RawServerStandIn(head + state)
+        await server.start()
+        results = instance._metrics.peer_pulls.labels(result)._value
+        before = results.get()
+        await instance._peer_network._pull("127.0.0.1", server.port)
+        assert results.get() == before + 1
+        await server.stop()
+
+    run_scenario(scenario, uvloop.run)
