Let a reset fail a body without a length for every reader

What callers saw: the product's own interface answered with the part of a body that came before the reset, as if it were the whole: a read, an order, and a long upload that its target answered at once with a 200 without a length. A store's, a probe's and an administrator's response were taken in the same way.

Cause: a body without a length ends with its connection, and the HTTP library takes any end of the connection for that. RFC 9112 section 8: the response is complete unless the underlying connection indicates an error. Only the connections to targets of the platform's path looked at how the connection ended (MatchedResponse.was_reset).

Change: CompleteResponseHandler fails the body that is being read when the connection ends with an error; build_connector and the sessions of serving/ use it unless they ask for others. The platform's path to targets and peers keeps its own check, which handles this already.

A body that ends with its connection in order is taken by all nine readers, also while 20 MB are still being sent.

--- a/src/waxwingshelf/checked_responses.py
+++ b/src/waxwingshelf/checked_responses.py
@@ -1,4 +1,4 @@
-"""Client connections on which malformed responses are errors.
+"""Client connections on which malformed and incomplete responses are errors.
 
 The HTTP library's parser accepts heads that RFC 9112 does not allow, and bodies in transfer codings
 that it cannot undo. Such a response must reach no caller, and nothing that it says may be believed,
@@ -24,7 +24,12 @@
     find_head_fault,
 )
 
-__all__ = ["CheckedResponseHandler", "MalformedResponseError", "build_connector"]
+__all__ = [
+    "CheckedResponseHandler",
+    "CompleteResponseHandler",
+    "MalformedResponseError",
+    "build_connector",
+]
 
 
 class MalformedResponseError(aiohttp.ClientError):
@@ -85,8 +90,23 @@
         self.set_exception(error)
 
 
+class CompleteResponseHandler(CheckedResponseHandler):
+    """A client connection that also fails a body without a length that a reset truncates.
+
+    Such a body is complete only if the server closed the connection (RFC 9112, section 8). The
+    library takes any end of the connection for its end.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the body that is being read, which is incomplete after an error."""
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            error = aiohttp.ClientPayloadError(f"connection lost while reading the body: {exc!r}")
+            self._payload.set_exception(error)
+        super().connection_lost(exc)
+
+
 def build_connector(
-    handler_class: Callable[..., ResponseHandler] = CheckedResponseHandler,
+    handler_class: Callable[..., ResponseHandler] = CompleteResponseHandler,
     connector_class: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
     **options: Any,
 ) -> aiohttp.TCPConnector:
--- a/src/waxwingshelf/serving/client_sessions.py
+++ b/src/waxwingshelf/serving/client_sessions.py
@@ -10,7 +10,7 @@
 from aiohappyeyeballs import AddrInfoType
 from aiohttp.client_proto import ResponseHandler
 
-from waxwingshelf.checked_responses import CheckedResponseHandler, build_connector
+from waxwingshelf.checked_responses import CompleteResponseHandler, build_connector
 
 __all__ = ["SocketFactory", "build_session", "open_client_socket"]
 
@@ -44,7 +44,7 @@
     max_connections_per_host: int = 0,
     response_class: type[aiohttp.ClientResponse] = aiohttp.ClientResponse,
     request_class: type[aiohttp.ClientRequest] = aiohttp.ClientRequest,
-    protocol_class: Callable[..., ResponseHandler] = CheckedResponseHandler,
+    protocol_class: Callable[..., ResponseHandler] = CompleteResponseHandler,
     connector_class: Callable[..., aiohttp.TCPConnector] = aiohttp.TCPConnector,
     open_socket: SocketFactory = open_client_socket,
     timeout: aiohttp.ClientTimeout = _NO_TIMEOUT,
--- a/standins/raw_server.py
+++ b/standins/raw_server.py
@@ -13,6 +13,7 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # The bytes before a reset must arrive first.
 _RESET_DELAY_S = 0.02
+_PART_BYTES = 65_536
 
 
 class ConnectionEnd(StrEnum):
@@ -24,7 +25,7 @@
 
 
 class RawServerStandIn:
-    """Send `response` when the head of a request has arrived; request bodies are not read.
+    """Send `response` when the head of a request has arrived, and read the body afterwards.
 
     `end` is what then happens to the connection. `connections` counts them.
     """
@@ -59,6 +60,9 @@
                 raw_socket = writer.get_extra_info("socket")
                 raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
                 writer.transport.abort()
-            elif self.end is ConnectionEnd.KEEP:
-                await reader.read()
+                return
+            if self.end is ConnectionEnd.CLOSE:
+                writer.write_eof()
+            while await reader.read(_PART_BYTES):
+                pass
         writer.close()
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -6,7 +6,7 @@
 import uvloop
 from multidict import CIMultiDict
 
-from standins.raw_server import RawServerStandIn
+from standins.raw_server import ConnectionEnd, RawServerStandIn
 from waxwingshelf.adapters.store_http import HttpStore
 from waxwingshelf.adapters.target_http import (
     FailureKind,
@@ -28,9 +28,9 @@
 FAILED = "failed"
 
 
-async def send_to_target(port, idempotent):
+async def send_to_target(port, idempotent, body=b""):
     client = TargetClient()
-    request = TargetRequest("POST", "/x", CIMultiDict(), b"", "id", 1_000, idempotent)
+    request = TargetRequest("POST", "/x", CIMultiDict(), body, "id", 1_000, idempotent)
     try:
         result = await client.send("t", Target("s", "r", "d", HOST, port), request)
         if isinstance(result, TargetResponse):
@@ -54,6 +54,10 @@
     return await send_to_target(port, idempotent=False)
 
 
+async def upload_to_target(port):
+    return await send_to_target(port, idempotent=False, body=bytes(20_000_000))
+
+
 async def probe_target(port):
     client = TargetClient()
     try:
@@ -117,6 +121,7 @@
 READERS = {
     read_target: (b"", b"hello", b"hello"),
     order_at_target: (b"", b"hello", b"hello"),
+    upload_to_target: (b"", b"hello", b"hello"),
     probe_target: (
         b"Content-Type: application/json\r\n",
         b'{"state": "healthy"}',
@@ -128,6 +133,8 @@
     watch_platform_store: (b"", b'{"events": [], "as_of": 5}', Position(0, 5)),
     administer: (b"", b'{"ok": true}', {"ok": True}),
 }
+# The other reader needs no more than the head.
+READERS_OF_BODIES = [reader for reader in READERS if reader is not swap_in_own_store]
 MALFORMED_HEADS = {
     "status 000": (b"HTTP/1.1 000 X", b""),
     "status 600": (b"HTTP/1.1 600 X", b""),
@@ -151,6 +158,11 @@
     return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
+def build_unframed(reader):
+    fields, body, _ = READERS[reader]
+    return b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n" + body
+
+
 def run_reader(reader, server):
     async def main():
         await server.start()
@@ -175,3 +187,16 @@
 def test_reader_understands_an_unusual_head(reader, case) -> None:
     raw = build_raw(reader, *UNUSUAL_HEADS[case])
     assert run_reader(reader, RawServerStandIn(raw)) == READERS[reader][-1]
+
+
+@pytest.mark.parametrize("reader", READERS_OF_BODIES, ids=lambda reader: reader.__name__)
+def test_reader_fails_if_a_reset_ends_a_body_without_a_length(reader) -> None:
+    """A part was taken for the whole body: RFC 9112, section 8."""
+    server = RawServerStandIn(build_unframed(reader), ConnectionEnd.RESET)
+    assert run_reader(reader, server) == FAILED
+
+
+@pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
+def test_reader_takes_a_body_that_ends_with_its_connection(reader) -> None:
+    server = RawServerStandIn(build_unframed(reader), ConnectionEnd.CLOSE)
+    assert run_reader(reader, server) == READERS[reader][-1]
