Keep the tests of responses that come while an upload goes on

Cause looked for: on the platform's path this is handled already. MatchedResponse.was_reset fails a body without a length whose connection ended with an error, direct and through a peer.

--- a/tests/serving/test_relay.py
+++ b/tests/serving/test_relay.py
@@ -110,6 +110,30 @@
     run_cut_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("response_mode", "status"),
+    [(ResponseMode.EARLY_RESET, 502), (ResponseMode.EARLY_CLOSE, 200)],
+)
+def test_response_to_an_upload_that_goes_on_comes_whole_through_a_peer(
+    run_cut_scenario, response_mode, status
+) -> None:
+    async def scenario(cut: CutInstance) -> None:
+        await cut.start()
+        limits = {"max_body_bytes": 20_000_000}
+        cut.deployment.store.put("op/config", {**CONFIG, "version": "r2", "limits": limits})
+        await asyncio.sleep(0.5)
+        await cut.cut()
+        cut.target.response_mode = response_mode
+        response = await cut.deployment.send_request(
+            "/sheet/x", method="POST", body=bytes(10_000_000), Attempt_Id="one"
+        )
+        assert response.status == status
+        assert (response.body == b"answer to one") == (status == 200)
+        assert cut.target.runs["one"] == 1
+
+    run_cut_scenario(scenario, uvloop.run)
+
+
 @pytest.mark.parametrize(
     ("response_mode", "status"), [(ResponseMode.RESET, 502), (ResponseMode.CUT, 502)]
 )
