Fail a send whose response has a length that the parser takes for none

What callers saw: the product's own interface answered with an empty body, as if it were the whole, when a target stated a length of 2^64 - 1 bytes. On the platform's path such a response was refused as too large already, but its connection went back to the pool with the body still to come.

Cause: the HTTP library's parser uses that number for "no length" and gives a message without a body. RFC 9112 section 6.3: the body has the length that is stated.

Lengths beyond 64 bits were failed sends before; the case is kept.

Change: a message without a body, for a request and a status that have one, resets the connection.

--- a/src/waxwingshelf/checked_responses.py
+++ b/src/waxwingshelf/checked_responses.py
@@ -63,22 +63,26 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Queue the head of a response, or reset the connection if it is malformed."""
-        message, _ = data
-        fault = self._find_fault(message)
+        fault = self._find_fault(*data)
         if fault is not None:
             self._fail(MalformedResponseError(fault))
         if not self._is_failed:
             super().feed_data(data, size)
 
-    def _find_fault(self, message: RawResponseMessage) -> str | None:
+    def _find_fault(self, message: RawResponseMessage, payload: aiohttp.StreamReader) -> str | None:
         if not self._scanner.take_checked():
             fault = find_head_fault(
                 build_head(message.version, message.code, message.reason, message.raw_headers)
             )
             if fault is not None:
                 return fault
+        if self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
+            return None
+        if payload is aiohttp.EMPTY_PAYLOAD:
+            # The parser takes the largest length that it can hold for none.
+            return f"length {message.headers.get('Content-Length')}"
         codings = message.headers.getall("Transfer-Encoding", ())
-        if not codings or self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
+        if not codings:
             return None
         return find_coding_fault(message.version, ",".join(codings), message.chunked)
 
--- a/src/waxwingshelf/core/response_heads.py
+++ b/src/waxwingshelf/core/response_heads.py
@@ -41,13 +41,13 @@
 def find_coding_fault(version: tuple[int, int], codings: str, is_chunked: bool) -> str | None:
     """Return why a body cannot be had from its transfer codings, or None.
 
-    `codings` is the value of the field that lists them, or an empty string. `is_chunked` says
-    whether the parser takes the chunks apart, which is the only coding that it can undo.
+    `codings` is the value of the field that lists them. `is_chunked` says whether the parser takes
+    chunks apart, the only coding that it can undo.
     """
     names = [name for part in codings.split(",") if (name := part.strip().lower())]
-    if version >= _FIRST_VERSION_WITH_CODINGS or not codings:
-        if names == ["chunked"] if is_chunked else names in ([], ["identity"]):
-            return None
+    is_undone = names == ["chunked"] if is_chunked else names in ([], ["identity"])
+    if is_undone and version >= _FIRST_VERSION_WITH_CODINGS:
+        return None
     return f"transfer coding {codings[:_MAX_QUOTED_BYTES]!r}"
 
 
@@ -55,15 +55,12 @@
     version: tuple[int, int], status: int, reason: str, fields: Iterable[tuple[bytes, bytes]]
 ) -> bytes:
     """Return the bytes of a head that a parser has taken apart."""
-    status_line = b"HTTP/%d.%d %03d %b" % (*version, status, _encode_reason(reason))
+    raw_reason = reason.encode(errors="surrogateescape")
+    status_line = b"HTTP/%d.%d %03d %b" % (*version, status, raw_reason)
     lines = [status_line, *(b"%b: %b" % field for field in fields)]
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def _encode_reason(reason: str) -> bytes:
-    return reason.encode(errors="surrogateescape")
-
-
 class HeadScanner:
     """Check the head of the response to a request, and of interim responses, as bytes arrive.
 
--- a/tests/serving/test_malformed_responses.py
+++ b/tests/serving/test_malformed_responses.py
@@ -120,6 +120,8 @@
     "coding in version 1.0": build_coded(b"chunked", b"HTTP/1.0 200 OK"),
     "coding behind another response": FOREIGN + build_coded(b"gzip, chunked"),
     "length that is no number": build_raw(fields=b"Content-Length: +5\r\n"),
+    "length beyond 64 bits": build_raw(fields=b"Content-Length: 18446744073709551616\r\n"),
+    "length of 64 ones": build_raw(fields=b"Content-Length: 18446744073709551615\r\n"),
     "two lengths": build_raw(fields=b"Content-Length: 4\r\nContent-Length: 5\r\n"),
     "length and coding": build_raw(
         fields=LENGTH + b"Transfer-Encoding: chunked\r\n", body=CHUNKED_BODY
--- a/tests/test_response_readers.py
+++ b/tests/test_response_readers.py
@@ -196,6 +196,14 @@
     assert run_reader(reader, server) == FAILED
 
 
+@pytest.mark.parametrize("reader", READERS_OF_BODIES, ids=lambda reader: reader.__name__)
+def test_reader_fails_on_a_length_that_the_parser_cannot_count(reader) -> None:
+    """It took an empty body for the whole one, and the bytes of the body for another response."""
+    fields, body, _ = READERS[reader]
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n" + fields + b"\r\n"
+    assert run_reader(reader, RawServerStandIn(head + body)) == FAILED
+
+
 @pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
 def test_reader_takes_a_body_that_ends_with_its_connection(reader) -> None:
     server = RawServerStandIn(build_unframed(reader), ConnectionEnd.CLOSE)
