Teach the soak malformed responses and resets behind a part of a body

Cause: the soak's targets sent well-formed heads only, and its proxy ended a connection in order where the other end had been reset, so that no instance of the soak ever met a reset behind a part of a body.

Change: after the faults, all targets answer an order with each of five malformed responses (000 and 777 that say "not run", another protocol, a blank behind and before a name), which no client may get; the random modes have them too, and early responses. The proxy passes a reset on. EARLY_RESET sends a part of the body only, so that the soak can tell it from the whole.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -33,9 +33,8 @@
     UNSIGNED omits the signature, and EXTRA sends a second response. The UNFRAMED modes send a body
     without a length and then reset or close the connection. The ENDLESS modes send bytes without
     end: as a body without a length, as a chunked body, as header lines, as interim responses, or as
-    responses to other requests. RAW sends `raw_response`. The EARLY modes send the beginning of a
-    body without a length before they have read the request's body, and then reset the connection
-    or end the response.
+    responses to other requests. RAW sends `raw_response`. The EARLY modes send a body without a
+    length before they have read the request's body, either a part and then a reset, or the whole.
     """
 
     NORMAL = "normal"
@@ -196,12 +195,13 @@
             for name, _, value in (line.partition(":") for line in header_lines if line)
         }
         request_id = headers.get("attempt-id", "")
-        if self.response_mode in _EARLY_MODES:
-            await self._respond_early(reader, writer, request_id)
-            return False
-        body = await _read_body(reader, headers)
+        is_early = self.response_mode in _EARLY_MODES
+        body = b"" if is_early else await _read_body(reader, headers)
         self.request_heads.append((request_line, headers))
         self.request_bodies.append(body)
+        if is_early:
+            await self._respond_early(reader, writer, request_id)
+            return False
         if self.repeats_rejections and (rejection := self._rejections.pop(writer, None)):
             writer.write(rejection)
         if headers.get("expected-instance", self.id) != self.id:
@@ -228,10 +228,12 @@
         """Respond without a length while the request's body is still being sent."""
         self.runs[request_id] += 1
         self._record_arrival(writer, request_id, ran=True)
+        is_reset = self.response_mode is ResponseMode.EARLY_RESET
         body = f"answer to {request_id}".encode()
-        writer.write(_build_unframed_response(request_id, body, ["Server-Signature: ok"]))
+        response = _build_unframed_response(request_id, body, ["Server-Signature: ok"])
+        writer.write(response[:-3] if is_reset else response)
         await writer.drain()
-        if self.response_mode is ResponseMode.EARLY_RESET:
+        if is_reset:
             await asyncio.sleep(0.02)
             _reset_connection(writer)
             return
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -106,12 +106,18 @@
         backward_task = asyncio.create_task(
             self._relay(destination_reader, writer, host, forward=False)
         )
-        await asyncio.wait([forward_task, backward_task], return_when=asyncio.FIRST_COMPLETED)
+        ended, _ = await asyncio.wait(
+            [forward_task, backward_task], return_when=asyncio.FIRST_COMPLETED
+        )
         for task in (forward_task, backward_task):
             task.cancel()
+        # A close in place of a reset would make a truncated body look complete.
+        was_reset = any(task.result() for task in ended)
         for end in writers:
             self._writers.discard(end)
             self._silent.discard(end)
+            if was_reset:
+                _reset_connection(end)
             end.transport.abort()
 
     async def _relay(
@@ -120,8 +126,9 @@
         writer: asyncio.StreamWriter,
         host: str,
         forward: bool,
-    ) -> None:
-        with contextlib.suppress(OSError):
+    ) -> bool:
+        """Pass bytes on until one end is closed; return whether it was reset."""
+        try:
             while data := await reader.read(_CHUNK_BYTES):
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(_DELAY_S)
@@ -130,9 +137,12 @@
                 if is_silent or (self.fault is LinkFault.ONE_WAY and not forward):
                     # A connection stays silent after the fault ends; only new connections work.
                     await asyncio.sleep(_SILENCE_S)
-                    return
+                    return False
                 writer.write(data)
                 await writer.drain()
+        except OSError:
+            return True
+        return False
 
 
 def _get_source(writer: asyncio.StreamWriter) -> str:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,6 +33,7 @@
     Process,
     SoakDeployment,
 )
+from tests.soak.malformed import MALFORMED_RESPONSES, check_malformed_responses
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.refusals import find_broken_guarantees
 from tests.soak.silences import check_departed_uploads, check_key_withdrawn_in_silence
@@ -46,6 +47,7 @@
 CRASHES_TO_QUARANTINE = 3
 ALLOWED_RETRIES = 3
 QUARANTINE_WAIT_S = 3.0
+MAX_STATUS = 599
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,7 @@
                 await self._check_recovery(session)
                 await self._check_deadly_request(session)
                 await check_key_withdrawn_in_silence(self, session)
+                await check_malformed_responses(self, session)
                 await check_departed_uploads(self, session)
                 await check_stop_while_requests_wait(self, session)
                 await check_rate_after_restart(self, session)
@@ -154,6 +157,8 @@
             self.add_violation(
                 "each client receives its own complete response", f"{request_id}: {body!r}"
             )
+        if status > MAX_STATUS:
+            self.add_violation("no client receives a malformed response", f"{request_id}: {status}")
         if status in (401, 403, 404) and not may_refuse:
             self.add_violation(
                 "requests that the configuration allows are served", f"{request_id}: {status}"
@@ -240,6 +245,7 @@
 
     async def _change_response_mode(self) -> None:
         target = self.rng.choice(self.deployment.targets)
+        target.raw_response = self.rng.choice(MALFORMED_RESPONSES)
         target.response_mode = self.rng.choice(list(ResponseMode))
         target.pause_s = self.rng.choice((None, 0.5, 2.0))
         await asyncio.sleep(self.rng.uniform(0.2, 1.5))
