Review: keep folders of the machine out of the records

Cause: script 9 recorded any log line with an error in it, and a traceback names folders of the machine.

--- a/review/8/case_8.py
+++ b/review/8/case_8.py
@@ -59,9 +59,7 @@
     often_ended = [instance for instance in rig.instances if len(instance.ends) > MAX_ENDS]
     for instance in rig.instances:
         rig.note(f"{instance.name} ended by itself {len(instance.ends)} times: {instance.ends}")
-        log = instance.log.read_text(errors="replace").rstrip().splitlines()
-        if instance.ends and log:
-            rig.note(f"the last line that it printed: {log[-1][:300]}")
+        rig.note_last_error(instance)
     return len(often_ended) <= MAX_MACHINES
 
 
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -43,6 +44,8 @@
 RESTART_DELAY_S = 0.5
 START_TIMEOUT_S = 20.0
 HEAD_LIMIT_BYTES = 1 << 20
+# The last line of a traceback.
+_ERROR = re.compile(r"^\w+Error: .*$", re.MULTILINE)
 
 
 @dataclass(slots=True)
@@ -114,6 +117,15 @@
         """Return the seconds since the rig was created."""
         return time.monotonic() - self.started_s
 
+    def note_last_error(self, instance: InstanceProcess) -> None:
+        """Write to the record the last error that ended an instance, without its traceback.
+
+        Tracebacks name folders of the machine.
+        """
+        errors = _ERROR.findall(instance.log.read_text(errors="replace"))
+        if instance.ends and errors:
+            self.note(f"{instance.name} printed last: {errors[-1][:300]}")
+
     def note_runs(self) -> None:
         """Write to the record which requests each target has run."""
         for spec, target in zip(self.specs, self.targets, strict=True):
