Log the task and the error that end an instance

An instance ends when any one of its tasks has ended. Its structured logs had no line about it: the traceback went to standard error only, in which neither the name of the task nor the instance stands, so that causes could not be counted over several starts.

Change: tasks have names, and a task that raises is logged as task_failed with its traceback.

--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -302,27 +302,29 @@
         await self._open()
         _log_malformed_settings(self._settings)
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
-        tasks = [
-            asyncio.create_task(store_watcher.run_watch()),
-            asyncio.create_task(store_watcher.run_registration()),
-            asyncio.create_task(self._peer_network.run()),
-            asyncio.create_task(self._peer_network.run_load_reports()),
-            asyncio.create_task(self._rate_limiter.run()),
-            asyncio.create_task(self._announce_ready()),
-            asyncio.create_task(self._run_updates()),
-            asyncio.create_task(self._dispatcher.run()),
-            asyncio.create_task(self._prober.run()),
-            asyncio.create_task(self._quarantine_keeper.run()),
-            asyncio.create_task(self._quarantine_store.run(store)),
-            asyncio.create_task(member_list_keeper.run(store)),
-            asyncio.create_task(self._pull_from_seeds()),
-            asyncio.create_task(self._poll_settings()),
-        ]
+        runs = {
+            "store_watch": store_watcher.run_watch(),
+            "registration": store_watcher.run_registration(),
+            "heartbeats": self._peer_network.run(),
+            "load_reports": self._peer_network.run_load_reports(),
+            "rate_limiter": self._rate_limiter.run(),
+            "readiness": self._announce_ready(),
+            "updates": self._run_updates(),
+            "dispatcher": self._dispatcher.run(),
+            "prober": self._prober.run(),
+            "quarantine_keeper": self._quarantine_keeper.run(),
+            "quarantine_store": self._quarantine_store.run(store),
+            "member_list": member_list_keeper.run(store),
+            "seed_reads": self._pull_from_seeds(),
+            "settings": self._poll_settings(),
+        }
+        tasks = [asyncio.create_task(run, name=name) for name, run in runs.items()]
         stop_waiter = asyncio.create_task(self._stop_requested.wait())
         try:
             done, _ = await asyncio.wait([*tasks, stop_waiter], return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 if task is not stop_waiter:
+                    _log_failure(task)
                     task.result()
             await self._shut_down(store_watcher)
         finally:
@@ -425,6 +427,12 @@
             _log.warning("connections_not_closed", timeout_s=_CLOSE_TIMEOUT_S)
 
 
+def _log_failure(task: asyncio.Task[None]) -> None:
+    error = task.exception()
+    if error is not None:
+        _log.critical("task_failed", task=task.get_name(), exc_info=error)
+
+
 def _log_malformed_settings(settings: InstanceSettings) -> None:
     for fault in settings.malformed:
         _log.warning("settings_value_unknown", **asdict(fault))
