Bound the numbers of the store's entries, so that one entry ends no instance

Within half a second the processes of the entry's region ended, and again half a second after each start; callers got 500, closed connections or none at all.

Cause: slots had no upper bound. Beside such a number the quotient of a region's slots and all slots is 1.0 as a float, and _compute_odds divides by zero. The task that updates the regions' weights raised it, and an instance ends with any of its tasks.

Change: core.quantities has one bounded type for each kind of number (count, slots, port, rank, amount), used by all documents of the store and by the settings; core.addresses does so for addresses, where a port of any length and any text as a host were taken. What is out of bounds costs its own entry or field, with one line, as a malformed value did before. It works since the bounds hold where a value enters: no later sum, quotient, socket call or encoder meets more than they bear, whichever field or task it is.

Ruled out: bounding the quotient in _compute_odds alone. 10^400 slots raise OverflowError elsewhere.

--- /dev/null
+++ b/src/waxwingshelf/core/addresses.py
@@ -0,0 +1,39 @@
+"""Parse network addresses that come from outside."""
+
+from __future__ import annotations
+
+import ipaddress
+
+__all__ = ["parse_address"]
+
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+_MAX_SHOWN_CHARACTERS = 60
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Split HOST:PORT; raise `ValueError` unless the host is an IP address and the port valid.
+
+    An IPv6 address stands in brackets, and keeps them.
+    """
+    host, _, port = text.rpartition(":")
+    if not _is_ip_address(host):
+        raise ValueError(f"{text[:_MAX_SHOWN_CHARACTERS]!r} is not HOST:PORT with an IP address")
+    if not _is_port(port):
+        raise ValueError(f"{port[:_MAX_SHOWN_CHARACTERS]!r} is no port")
+    return host, int(port)
+
+
+def _is_ip_address(host: str) -> bool:
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        version = ipaddress.ip_address(host[1:-1] if is_bracketed else host).version
+    except ValueError:
+        return False
+    return is_bracketed == (version == 6)
+
+
+def _is_port(text: str) -> bool:
+    if not (text.isascii() and text.isdecimal()) or len(text) > _MAX_PORT_DIGITS:
+        return False
+    return 0 < int(text) <= _MAX_PORT
--- /dev/null
+++ b/src/waxwingshelf/core/quantities.py
@@ -0,0 +1,25 @@
+"""Types of the numbers that come from outside, with bounds that every use of them bears.
+
+Decoders reject a number out of bounds like one of another type. The bounds are far above what is
+real, and low enough for floating point, for sums, for sockets and for the encoders of messages.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = ["Amount", "Count", "Port", "Rank", "Slots"]
+
+_MAX_RANK = 1_000_000
+
+# A finite number that is not negative: a rate, a factor, a weight, a time; infinity is excluded.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+# A number of things, a size in bytes or a time in milliseconds, which floating point holds exactly.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# The number of requests that a target runs at once. Numbers that stand for "no limit" are higher.
+Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+# A priority; 0 is the highest that operators give.
+Rank = Annotated[int, msgspec.Meta(ge=-_MAX_RANK, le=_MAX_RANK)]
--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -4,10 +4,12 @@
 
 import json
 from collections.abc import Iterable, Iterator
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
+from waxwingshelf.core.addresses import parse_address
+from waxwingshelf.core.quantities import Amount, Count, Rank, Slots
 from waxwingshelf.platform.names import (
     EVACUATION_PREFIX,
     MEMBER_LIST_PREFIX,
@@ -15,7 +17,7 @@
     QUARANTINE_PREFIX,
     TARGET_PREFIX,
 )
-from waxwingshelf.platform.tolerant_decoding import Amount, FieldName, TolerantConverter
+from waxwingshelf.platform.tolerant_decoding import FieldName, TolerantConverter
 from waxwingshelf.steering.config import (
     CallerLimits,
     Destination,
@@ -58,25 +60,27 @@
 # No service and no region has this name, so that requests are refused.
 _NO_NAME = ""
 _LOWEST_PRIORITY = 1_000_000
-_MAX_PORT = 65_535
-_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_MAX_ERROR_CHARACTERS = 200
 
 
 class DecodeError(ValueError):
     """A value in the store is invalid; the message describes the error and usually its location."""
 
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail[:_MAX_ERROR_CHARACTERS])
+
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: _Count = 16_384
-    max_body_bytes: _Count = 67_108_864
-    header_timeout_ms: _Count = 3_000
-    idle_timeout_ms: _Count = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 67_108_864
+    header_timeout_ms: Count = 3_000
+    idle_timeout_ms: Count = 15_000
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
     rate_per_s: Amount | None = None
     burst: Amount | None = None
     home_regions: list[str] | None = None
@@ -95,7 +99,7 @@
     service: str | None = None
     traffic_split: list[_SplitPart] | None = None
     timeout_ms: Amount | None = None
-    attempts: int | None = None
+    attempts: Count | None = None
     home_regions: list[str] | None = None
 
 
@@ -106,7 +110,7 @@
     action: _Action = msgspec.field(default_factory=_Action)
     # The latency objective: a response within this time earns full credit.
     target_latency_ms: Amount | None = None
-    priority: int | None = None
+    priority: Rank | None = None
     public: bool | None = None
     sticky: bool | None = None
 
@@ -120,7 +124,7 @@
     # The platform calls a service a cluster.
     name: str
     health_path: str = "/health"
-    max_connections: int | None = None
+    max_connections: Count | None = None
     cold_start_s: Amount | None = None
     cold_per_s: Amount | None = None
 
@@ -136,7 +140,7 @@
 class _Information(msgspec.Struct):
     service: str
     zone: str
-    slots: int
+    slots: Slots
     version: str = ""
 
 
@@ -144,7 +148,7 @@
     state: str
     cold_remaining_ms: Amount = 0
     # Counts what the target has said of itself since its start.
-    sequence: int = 0
+    sequence: Count = 0
 
 
 class _Server(msgspec.Struct):
@@ -152,7 +156,7 @@
     information: _Information
     status: _Status
     # The start time of the target's process, in Unix milliseconds.
-    born: int = 0
+    born: Count = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config, strict=False)
@@ -276,18 +280,14 @@
     """Decode a target's entry; raise `DecodeError` if it is invalid."""
     try:
         entry = _SERVER_DECODER.decode(value)
-        host, _, port = entry.address.rpartition(":")
+        host, port = parse_address(entry.address)
         if entry.status.state not in _KNOWN_STATES:
             raise ValueError(f"status.state: unknown state {entry.status.state!r}")
-        if entry.information.slots < 1 or not host:
-            raise ValueError("information.slots must be at least 1 and address must be HOST:PORT")
-        if not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
-            raise ValueError(f"address: {port!r} is no port")
         return Target(
             id=target_id,
             service=entry.information.service,
             host=host,
-            port=int(port),
+            port=port,
             failure_domain=entry.information.zone,
             version=entry.information.version,
             slots=entry.information.slots,
--- a/src/waxwingshelf/platform/settings.py
+++ b/src/waxwingshelf/platform/settings.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+from waxwingshelf.core.addresses import parse_address
+from waxwingshelf.core.quantities import Amount, Port
 from waxwingshelf.platform.tolerant_decoding import (
-    Amount,
     FieldName,
     MalformedValue,
     TolerantConverter,
@@ -102,7 +103,7 @@
 class _Network(msgspec.Struct):
     listen: _Listen
     zones: dict[str, str]
-    internal_ports: list[int]
+    internal_ports: list[Port]
     seed_nodes: list[str] = []
 
 
@@ -211,7 +212,5 @@
 
 
 def _parse_endpoint(text: str) -> Endpoint:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return Endpoint(host, int(port))
+    host, port = parse_address(text)
+    return Endpoint(host, port)
--- a/src/waxwingshelf/platform/tolerant_decoding.py
+++ b/src/waxwingshelf/platform/tolerant_decoding.py
@@ -9,16 +9,14 @@
 import types
 import typing
 from collections.abc import Collection, Mapping
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 
-__all__ = ["Amount", "FieldName", "MalformedValue", "MissingValueError", "TolerantConverter"]
+__all__ = ["FieldName", "MalformedValue", "MissingValueError", "TolerantConverter"]
 
 _MAX_LOGGED_CHARACTERS = 100
 _DROPPED = "dropped"
-# A finite number that is not negative; the upper bound excludes infinity.
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 # A struct type and the name of one of its fields.
 FieldName = tuple[type[msgspec.Struct], str]
 
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import structlog
@@ -427,7 +428,7 @@
             _log.warning("connections_not_closed", timeout_s=_CLOSE_TIMEOUT_S)
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
+def _log_failure(task: asyncio.Task[Any]) -> None:
     error = task.exception()
     if error is not None:
         _log.critical("task_failed", task=task.get_name(), exc_info=error)
--- a/src/waxwingshelf/steering/quarantine.py
+++ b/src/waxwingshelf/steering/quarantine.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from waxwingshelf.core.quantities import Count
+
 __all__ = ["QUARANTINE_MS", "Quarantine", "QuarantineEntry", "QuarantineList"]
 
 QUARANTINE_MS = 600_000
@@ -24,10 +26,10 @@
     crash that the request caused until then, `trials` the number of trials begun since.
     """
 
-    began_ms: int
+    began_ms: Count
     lifted: bool
-    trials: int = 0
-    suspected_ms: int = 0
+    trials: Count = 0
+    suspected_ms: Count = 0
 
 
 class QuarantineEntry(msgspec.Struct):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -145,3 +145,17 @@
 def test_member_registration_round_trips() -> None:
     address = PeerAddress("n", "north", "north-1", "10.0.0.1", 1, 2, "10.0.0.1:3")
     assert decode_member(encode_member(address)) == address
+
+
+def test_target_with_many_slots_is_used() -> None:
+    """Guards against a bound on slots that real targets reach."""
+    information = {**SERVER_ENTRY["information"], "slots": 1_000_000}
+    target = decode_target("i-1", encode({**SERVER_ENTRY, "information": information}))
+    assert target.slots == 1_000_000
+
+
+@pytest.mark.parametrize(
+    ("address", "host"), [("10.0.0.9:1", "10.0.0.9"), ("[::1]:65535", "[::1]")]
+)
+def test_address_of_a_target_is_an_ip_address_and_a_port(address, host) -> None:
+    assert decode_target("i-1", encode({**SERVER_ENTRY, "address": address})).host == host
--- /dev/null
+++ b/tests/serving/test_values_from_outside.py
@@ -0,0 +1,60 @@
+"""A value from outside costs its own entry, message or request, and never ends an instance."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.serving.conftest import HOST, Deployment
+
+# Longer than the periods of the tasks that use what an instance has read.
+_OBSERVATION_S = 0.8
+_CALL_INTERVAL_S = 0.1
+
+
+async def start_fleet(deployment: Deployment, instances: int = 1) -> None:
+    """Start instances in turn in both regions, and a target in each."""
+    await deployment.add_target("t0")
+    await deployment.add_target("t1")
+    deployment.register("t1", failure_domain="south-1")
+    for number in range(instances):
+        domain = ("north-1", "south-1")[number % 2]
+        await deployment.start_instance(f"n{number}", failure_domain=domain)
+    for number in range(instances):
+        await deployment.wait_until_ready(f"n{number}")
+
+
+async def check_serving(deployment: Deployment) -> None:
+    """Send requests to all instances for a while: each is answered, and no instance ends."""
+    runs = [task for task in deployment.tasks if task.get_coro().__name__ == "run"][1:]
+    assert len(runs) == len(deployment.instances)
+    for _ in range(round(_OBSERVATION_S / _CALL_INTERVAL_S)):
+        for name in deployment.instances:
+            for method, path in (("GET", "/read/x"), ("POST", "/order/x")):
+                response = await deployment.send_request(path, name, method)
+                assert response.status == 200
+        await asyncio.sleep(_CALL_INTERVAL_S)
+    assert not any(run.done() for run in runs)
+
+
+def build_entry(port: int, **information: Any) -> dict[str, Any]:
+    return {
+        "address": f"{HOST}:{port}",
+        "information": {"service": "work", "zone": "north-1", "slots": 4, **information},
+        "status": {"state": "ready", "sequence": 1, "cold_remaining_ms": 0},
+    }
+
+
+@pytest.mark.parametrize(
+    "slots", [2**63 - 1, 2**64 - 1, pytest.param(10**400, id="longer than any float")]
+)
+def test_entry_with_impossible_slots_ends_no_instance(run_scenario, slots) -> None:
+    """Guards against a division by zero over a target's slots, which ended a region's instances."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        port = deployment.targets["t0"].port
+        deployment.store.put("servers/other-writer", build_entry(port, slots=slots))
+        await check_serving(deployment)
+
+    run_scenario(scenario)
