Check the addresses and numbers that instances tell each other

What callers saw (tried on with real processes): a registration in the store, or one heartbeat datagram, with a port of 2^31 or a host that is no address ends all other instances, again at each start as long as the entry is there.

Cause: the fields of PeerAddress were any integer and any text. Instances send heartbeats and load reports to that address; uvloop's sendto raises ValueError for what is no address, in the tasks that send, and an instance ends with any of its tasks. Related: boots, numbers, revisions and demand of heartbeats, load reports, changes, owners' reports, acks and token responses had no bounds either.

Evidence: task_failed, task load_reports, ValueError 'socket family mismatch or a DNS lookup is required', in each of the failing tests below on the code before.

Change: a host is an IPv4 address (the platform has no other), callers' addresses have a port, ports fit a socket, rising numbers fit 63 bits, counts floating point. The decoder checks it, so that such a registration costs itself, and such a message itself or its optional field. It works since no address reaches a socket call that a decoder has not checked.

Ruled out: catching the error where datagrams are sent. asyncio's own loop closes the datagram transport then, and other uses (reads from peers, token requests, relays) need the check as well.

Failed before: test_registration_with_an_unusable_address_ends_no_instance (6 of 8) and test_heartbeat_with_an_unusable_address_ends_no_instance (3 of 4; -2^31 is taken by uvloop as another port), 12 cases of test_unknown_values. All pass now.

--- a/src/waxwingshelf/core/addresses.py
+++ b/src/waxwingshelf/core/addresses.py
@@ -1,10 +1,19 @@
-"""Parse network addresses that come from outside."""
+"""Check network addresses that come from outside."""
 
 from __future__ import annotations
 
 import ipaddress
+from typing import Annotated
 
-__all__ = ["parse_address"]
+import msgspec
+
+__all__ = ["Ipv4Address", "Ipv4Endpoint", "parse_address"]
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_IPV4 = rf"{_OCTET}(\.{_OCTET}){{3}}"
+# Texts that a decoder checks: an IPv4 address, and one with a port.
+Ipv4Address = Annotated[str, msgspec.Meta(pattern=rf"^{_IPV4}\Z")]
+Ipv4Endpoint = Annotated[str, msgspec.Meta(pattern=rf"^{_IPV4}:[0-9]{{1,5}}\Z")]
 
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
--- a/src/waxwingshelf/core/quantities.py
+++ b/src/waxwingshelf/core/quantities.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["Amount", "Count", "Port", "Rank", "Slots"]
+__all__ = ["Amount", "Count", "Port", "PortOrNone", "Rank", "Sequence", "Slots"]
 
 _MAX_RANK = 1_000_000
 
@@ -18,8 +18,13 @@
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 # A number of things, a size in bytes or a time in milliseconds, which floating point holds exactly.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# A number that only rises: a revision, the start of a process in nanoseconds, a message's number.
+# Every encoder holds it, and one that is added to it.
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # The number of requests that a target runs at once. Numbers that stand for "no limit" are higher.
 Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+# 0 stands for no port.
+PortOrNone = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 # A priority; 0 is the highest that operators give.
 Rank = Annotated[int, msgspec.Meta(ge=-_MAX_RANK, le=_MAX_RANK)]
--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from waxwingshelf.core.hashing import hash_to_uint32
+from waxwingshelf.core.quantities import Count, Sequence
 from waxwingshelf.serving.tolerant_messages import TolerantDecoder
 from waxwingshelf.steering.fleet import Heartbeat, LoadReport, PeerAddress
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
@@ -63,16 +64,16 @@
     """
 
     name_hash: int
-    boot: int
-    number: int
+    boot: Sequence
+    number: Sequence
     ready: bool
-    revision: int
-    demand: dict[str, int]
+    revision: Sequence
+    demand: dict[str, Count]
     watching: bool
-    era: int
+    era: Sequence
     config_version: int
-    acked_boot: int | None = None
-    acked_number: int = 0
+    acked_boot: Sequence | None = None
+    acked_number: Sequence = 0
     reaches_targets: bool | None = None
     service_slots: Any = None
     region_slots: Any = None
@@ -82,12 +83,12 @@
     """A load report for instances that know its sender."""
 
     name_hash: int
-    boot: int
-    number: int
-    loads: dict[int, int]
-    validity_ms: int = DEFAULT_VALIDITY_MS
-    slowness: dict[int, int] = msgspec.field(default_factory=dict)
-    organisations: dict[int, int] = msgspec.field(default_factory=dict)
+    boot: Sequence
+    number: Sequence
+    loads: dict[int, Count]
+    validity_ms: Count = DEFAULT_VALIDITY_MS
+    slowness: dict[int, Count] = msgspec.field(default_factory=dict)
+    organisations: dict[int, Count] = msgspec.field(default_factory=dict)
     objects: dict[int, int] = msgspec.field(default_factory=dict)
 
 
@@ -98,10 +99,10 @@
     """
 
     name: str
-    era: int
-    after: int
-    revision: int
-    changes: list[tuple[str, int, bytes | None]]
+    era: Sequence
+    after: Sequence
+    revision: Sequence
+    changes: list[tuple[str, Sequence, bytes | None]]
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -20,6 +20,7 @@
 
 from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
 from waxwingshelf.core.clock import Clock
+from waxwingshelf.core.quantities import Sequence
 from waxwingshelf.platform.settings import Endpoint, InstanceSettings
 from waxwingshelf.platform.store import WatchBatch
 from waxwingshelf.serving.client_sessions import build_session
@@ -91,10 +92,10 @@
     older after the store came back from an older copy.
     """
 
-    as_of: int
+    as_of: Sequence
     whole: bool
-    changes: list[tuple[str, int, bytes | None]]
-    era: int = 0
+    changes: list[tuple[str, Sequence, bytes | None]]
+    era: Sequence = 0
     config: bytes | None = None
 
 
--- a/src/waxwingshelf/serving/token_requests.py
+++ b/src/waxwingshelf/serving/token_requests.py
@@ -14,6 +14,7 @@
 import structlog
 
 from waxwingshelf.core.clock import Clock
+from waxwingshelf.core.quantities import Count
 
 __all__ = ["OwnerConnection", "TokenRequest", "TokenResponse", "TokenServer"]
 
@@ -44,7 +45,7 @@
 
     number: int
     granted: bool
-    wait_ms: int
+    wait_ms: Count
 
 
 _REQUEST_DECODER = msgspec.msgpack.Decoder(TokenRequest)
--- a/src/waxwingshelf/steering/owners.py
+++ b/src/waxwingshelf/steering/owners.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from waxwingshelf.core.hashing import hash_to_unit_interval
+from waxwingshelf.core.quantities import Amount, Sequence
 from waxwingshelf.core.rendezvous import rank
 from waxwingshelf.steering.fleet import PeerAddress, PeerDemand
 from waxwingshelf.steering.limits import compute_rate_share
@@ -48,9 +49,9 @@
 
     name: str
     region: str
-    boot: int
-    number: int
-    demand: dict[str, float]
+    boot: Sequence
+    number: Sequence
+    demand: dict[str, Amount]
     ack: DemandAck | None = None
 
 
--- a/src/waxwingshelf/steering/peer_reports.py
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from waxwingshelf.core.addresses import Ipv4Address, Ipv4Endpoint
+from waxwingshelf.core.quantities import Amount, Count, Port, PortOrNone, Sequence
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
 from waxwingshelf.steering.mirror import Position
 from waxwingshelf.steering.sent_demand import DemandAck
@@ -22,12 +24,12 @@
     name: str
     region: str
     failure_domain: str
-    host: str
-    beat_port: int
-    state_port: int
-    caller_address: str
-    rate_port: int = 0
-    link_mbps: float = 0.0
+    host: Ipv4Address
+    beat_port: Port
+    state_port: Port
+    caller_address: Ipv4Endpoint
+    rate_port: PortOrNone = 0
+    link_mbps: Amount = 0.0
     collects_crashes: bool = False
 
 
@@ -48,13 +50,13 @@
     """
 
     address: PeerAddress
-    boot: int
-    number: int
+    boot: Sequence
+    number: Sequence
     ready: bool
-    revision: int
-    demand: dict[str, float]
+    revision: Sequence
+    demand: dict[str, Amount]
     watching: bool = False
-    era: int = 0
+    era: Sequence = 0
     config_version: int = 0
     brief: bool = False
     ack: DemandAck | None = None
@@ -74,12 +76,12 @@
     """
 
     name: str
-    boot: int
-    number: int
-    loads: dict[int, int]
-    validity_ms: int = DEFAULT_VALIDITY_MS
-    slowness: dict[int, int] = msgspec.field(default_factory=dict)
-    organisations: dict[int, int] = msgspec.field(default_factory=dict)
+    boot: Sequence
+    number: Sequence
+    loads: dict[int, Count]
+    validity_ms: Count = DEFAULT_VALIDITY_MS
+    slowness: dict[int, Count] = msgspec.field(default_factory=dict)
+    organisations: dict[int, Count] = msgspec.field(default_factory=dict)
     objects: dict[int, int] = msgspec.field(default_factory=dict)
 
     @property
--- a/src/waxwingshelf/steering/sent_demand.py
+++ b/src/waxwingshelf/steering/sent_demand.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from waxwingshelf.core.quantities import Sequence
+
 __all__ = ["DemandAck", "SentDemand"]
 
 # At four heartbeats a second, far more than the reports that peers which are heard have not used.
@@ -31,8 +33,8 @@
     `boot` and `number` are the recipient's own; 0 if the sender has used none.
     """
 
-    boot: int = 0
-    number: int = 0
+    boot: Sequence = 0
+    number: Sequence = 0
 
 
 class _Report(msgspec.Struct, frozen=True):
--- a/tests/serving/test_values_from_outside.py
+++ b/tests/serving/test_values_from_outside.py
@@ -1,11 +1,16 @@
 """A value from outside costs its own entry, message or request, and never ends an instance."""
 
 import asyncio
+import socket
 from typing import Any
 
+import msgspec
 import pytest
+import uvloop
 
 from tests.serving.conftest import HOST, Deployment
+from waxwingshelf.platform.documents import make_listed_member_key, make_member_key
+from waxwingshelf.serving.peer_messages import HEARTBEAT_TYPE
 
 # Longer than the periods of the tasks that use what an instance has read.
 _OBSERVATION_S = 0.8
@@ -58,3 +63,57 @@
         await check_serving(deployment)
 
     run_scenario(scenario)
+
+
+def build_registration(**changes: Any) -> dict[str, Any]:
+    return {
+        "name": "other",
+        "region": "north",
+        "failure_domain": "north-1",
+        "host": HOST,
+        "beat_port": 9,
+        "state_port": 9,
+        "caller_address": f"{HOST}:9",
+        **changes,
+    }
+
+
+UNUSABLE_ADDRESSES = [{"beat_port": 2**31}, {"beat_port": -(2**31)}, {"host": "x"}, {"host": ""}]
+
+
+@pytest.mark.parametrize("make_key", [make_member_key, make_listed_member_key])
+@pytest.mark.parametrize("change", UNUSABLE_ADDRESSES)
+def test_registration_with_an_unusable_address_ends_no_instance(
+    run_scenario, make_key, change
+) -> None:
+    """Guards against a socket call that raises in the task that sends heartbeats to all peers."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        deployment.store.put(make_key("other"), build_registration(**change))
+        await check_serving(deployment)
+
+    run_scenario(scenario, uvloop.run)
+
+
+@pytest.mark.parametrize("change", UNUSABLE_ADDRESSES)
+def test_heartbeat_with_an_unusable_address_ends_no_instance(run_scenario, change) -> None:
+    """Guards against one datagram that makes an instance unable to send heartbeats."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        heartbeat = {
+            "address": build_registration(**change),
+            "boot": 1,
+            "number": 1,
+            "ready": True,
+            "revision": 1,
+            "demand": {},
+        }
+        datagram = HEARTBEAT_TYPE + msgspec.msgpack.encode(heartbeat)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for settings in deployment.settings.values():
+                sender.sendto(datagram, (HOST, settings.peer_ports[0]))
+        await check_serving(deployment)
+
+    run_scenario(scenario, uvloop.run)
