Read the store's numbers and values without an error of another kind

What callers saw (by tests, on the code before): one item of a listing or a watch whose value is no base64, or a Store-Era header that is no number although str.isdigit says so ('²'), or has 5,000 digits, ends every instance that reads it, again at each start.

Cause: such values raise ValueError, not StoreError, in the tasks that call the store; isdigit accepts what int() rejects; the reciprocal of a rate far below 1 overflows int().

Evidence: task_failed, task store_watch, binascii.Error and ValueError, in the failing tests.

Change: parse_count reads ASCII digits of bounded number, for eras, deadlines, ports and positions of peers; the store's own numbers have the bounds of core.quantities; a value that cannot be decoded is empty, which no document is, and is logged as value_rejected; rates of the configuration are bounded from below, the wait for a token and a target's named limit from above. It works since nothing that only looks like a number reaches int(), and no rate is divided by that has no reciprocal.

The fuzz of restored stores used the host 'h', which is no address now; it uses 127.0.0.1.

--- a/src/waxwingshelf/core/addresses.py
+++ b/src/waxwingshelf/core/addresses.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from waxwingshelf.core.quantities import parse_count
+
 __all__ = ["Ipv4Address", "Ipv4Endpoint", "parse_address"]
 
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
@@ -28,9 +30,10 @@
     host, _, port = text.rpartition(":")
     if not _is_ip_address(host):
         raise ValueError(f"{text[:_MAX_SHOWN_CHARACTERS]!r} is not HOST:PORT with an IP address")
-    if not _is_port(port):
+    number = parse_count(port, _MAX_PORT_DIGITS)
+    if number is None or not 0 < number <= _MAX_PORT:
         raise ValueError(f"{port[:_MAX_SHOWN_CHARACTERS]!r} is no port")
-    return host, int(port)
+    return host, number
 
 
 def _is_ip_address(host: str) -> bool:
@@ -40,9 +43,3 @@
     except ValueError:
         return False
     return is_bracketed == (version == 6)
-
-
-def _is_port(text: str) -> bool:
-    if not (text.isascii() and text.isdecimal()) or len(text) > _MAX_PORT_DIGITS:
-        return False
-    return 0 < int(text) <= _MAX_PORT
--- a/src/waxwingshelf/core/quantities.py
+++ b/src/waxwingshelf/core/quantities.py
@@ -10,12 +10,27 @@
 
 import msgspec
 
-__all__ = ["Amount", "Count", "Port", "PortOrNone", "Rank", "Sequence", "Slots"]
+__all__ = [
+    "Amount",
+    "Count",
+    "Port",
+    "PortOrNone",
+    "Rank",
+    "Sequence",
+    "Slots",
+    "bound_rate",
+    "parse_count",
+]
 
 _MAX_RANK = 1_000_000
+# A smaller rate has no reciprocal in floating point, and one so small allows one request in days.
+_MIN_RATE_PER_S = 1e-6
+_MAX_AMOUNT = 1e12
+# Below 2**53.
+_MAX_COUNT_DIGITS = 15
 
 # A finite number that is not negative: a rate, a factor, a weight, a time; infinity is excluded.
-Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
 # A number of things, a size in bytes or a time in milliseconds, which floating point holds exactly.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 # A number that only rises: a revision, the start of a process in nanoseconds, a message's number.
@@ -28,3 +43,15 @@
 PortOrNone = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 # A priority; 0 is the highest that operators give.
 Rank = Annotated[int, msgspec.Meta(ge=-_MAX_RANK, le=_MAX_RANK)]
+
+
+def parse_count(text: str, max_digits: int = _MAX_COUNT_DIGITS) -> int | None:
+    """Return the number that a text of ASCII digits writes; None if it is anything else."""
+    if not (text.isascii() and text.isdecimal()) or len(text) > max_digits:
+        return None
+    return int(text)
+
+
+def bound_rate(per_s: float) -> float:
+    """Return a rate that can be divided by and summed up; 0, which means no limit, stays 0."""
+    return min(_MAX_AMOUNT, max(_MIN_RATE_PER_S, per_s)) if per_s > 0 else 0.0
--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from waxwingshelf.core.addresses import parse_address
-from waxwingshelf.core.quantities import Amount, Count, Rank, Slots
+from waxwingshelf.core.quantities import Amount, Count, Rank, Slots, bound_rate
 from waxwingshelf.platform.names import (
     EVACUATION_PREFIX,
     MEMBER_LIST_PREFIX,
@@ -377,7 +377,7 @@
         health_path=entry.health_path,
         max_connections=entry.max_connections or 0,
         cold_start_ms=int((entry.cold_start_s or 0) * _MS_PER_S),
-        cold_per_s=entry.cold_per_s or 0.0,
+        cold_per_s=bound_rate(entry.cold_per_s or 0.0),
     )
 
 
@@ -386,7 +386,7 @@
         name=entry.name,
         keys=tuple(entry.api_keys),
         priority=entry.priority,
-        rate_per_s=entry.rate_per_s or 0.0,
+        rate_per_s=bound_rate(entry.rate_per_s or 0.0),
         burst=entry.burst or 0.0,
         allowed_regions=frozenset(entry.home_regions or ()),
     )
--- a/src/waxwingshelf/platform/store.py
+++ b/src/waxwingshelf/platform/store.py
@@ -10,8 +10,10 @@
 
 import aiohttp
 import msgspec
+import structlog
 
 from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
+from waxwingshelf.core.quantities import Sequence, parse_count
 from waxwingshelf.platform.names import STORE_ERA_HEADER
 from waxwingshelf.platform.settings import Endpoint
 from waxwingshelf.steering.mirror import Change, Position
@@ -24,6 +26,7 @@
 _NO_LEASE = 0
 # A page has about 1 MB; a watch may bring many changes at once.
 _MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+_log = structlog.get_logger("store")
 _T = TypeVar("_T")
 
 
@@ -85,29 +88,29 @@
 
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: Sequence
     value: str | None = None
     tombstone: bool = False
 
 
 class _Range(msgspec.Struct):
     items: list[_Item]
-    as_of: int
+    as_of: Sequence
     truncated: bool = False
 
 
 class _Events(msgspec.Struct):
     events: list[_Item]
-    as_of: int
+    as_of: Sequence
 
 
 class _LeaseBody(msgspec.Struct):
-    lease: int
-    ttl_ms: int
+    lease: Sequence
+    ttl_ms: Sequence
 
 
 class _Written(msgspec.Struct):
-    revision: int
+    revision: Sequence
 
 
 class _Expected(msgspec.Struct):
@@ -266,7 +269,8 @@
 
         An answer without an era belongs to the latest one: a store without eras sends none.
         """
-        era = int(text) if text.isdigit() else self.era
+        known = parse_count(text)
+        era = known if known is not None else self.era
         if era < self.era:
             raise StoreError(StoreErrorKind.OUTDATED, step, f"era {era} after {self.era}")
         is_restored = era > self.era and self._answered
@@ -301,4 +305,13 @@
 def _to_change(item: _Item) -> Change:
     if item.tombstone or item.value is None:
         return Change(item.key, item.revision, None)
-    return Change(item.key, item.revision, base64.b64decode(item.value))
+    return Change(item.key, item.revision, _decode_value(item.key, item.value))
+
+
+def _decode_value(key: str, text: str) -> bytes:
+    """Return an item's value; empty, which no document is, if it cannot be read."""
+    try:
+        return base64.b64decode(text)
+    except ValueError as error:
+        _log.warning("value_rejected", key=key, detail=str(error))
+        return b""
--- a/src/waxwingshelf/platform/target_responses.py
+++ b/src/waxwingshelf/platform/target_responses.py
@@ -37,6 +37,8 @@
 # A longer pause is more likely a mistake than a plan; an operator can still remove the target.
 _MAX_PAUSE_MS = 600_000
 _MAX_LOGGED_CHARACTERS = 100
+# Above what any target serves, and low enough for sums over targets.
+_MAX_LIMIT_PER_S = 1e9
 _IDLE_TIMEOUT = re.compile(r"(?:^|[,;\s])timeout\s*=\s*(\d{1,6})(?:$|[,;\s])", re.IGNORECASE)
 # Running, waiting and slots, and the optional percentage.
 _LOAD = re.compile(
@@ -96,7 +98,7 @@
             "target_limit_rejected", target=target_id, detail=text[:_MAX_LOGGED_CHARACTERS]
         )
         return None
-    return NamedLimit(per_s)
+    return NamedLimit(min(per_s, _MAX_LIMIT_PER_S))
 
 
 def parse_pause(text: str | None, target_id: str) -> int:
--- a/src/waxwingshelf/program/requests.py
+++ b/src/waxwingshelf/program/requests.py
@@ -19,6 +19,7 @@
 from waxwingshelf.core.config import Config
 from waxwingshelf.core.manifest import Service
 from waxwingshelf.core.messages import Claim, StoredResponse
+from waxwingshelf.core.quantities import parse_count
 from waxwingshelf.core.refusals import Ran, Refusal, refuse
 from waxwingshelf.ports import Metrics
 from waxwingshelf.program.bodies import BodyError, BodyReader
@@ -336,9 +337,10 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return service.deadline_ms
-    if not text.isdigit() or len(text) > _MAX_DEADLINE_DIGITS or int(text) == 0:
+    deadline_ms = parse_count(text, _MAX_DEADLINE_DIGITS)
+    if not deadline_ms:
         return None
-    return min(int(text), service.deadline_ms)
+    return min(deadline_ms, service.deadline_ms)
 
 
 def _hash_request(request: web.Request, body: bytes) -> bytes:
--- a/src/waxwingshelf/serving/headers.py
+++ b/src/waxwingshelf/serving/headers.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from waxwingshelf.core.hop_headers import HOP_BY_HOP_HEADERS
+from waxwingshelf.core.quantities import parse_count
 from waxwingshelf.platform.names import (
     CREDENTIAL_HEADER,
     DEADLINE_HEADER,
@@ -37,10 +38,7 @@
 
 def parse_deadline(headers: Mapping[str, str]) -> int | None:
     """Return the caller's timeout in milliseconds, or None when it is missing or malformed."""
-    text = headers.get(DEADLINE_HEADER, "")
-    if not text.isdigit() or len(text) > _MAX_DEADLINE_DIGITS:
-        return None
-    return int(text)
+    return parse_count(headers.get(DEADLINE_HEADER, ""), _MAX_DEADLINE_DIGITS)
 
 
 def _copy_headers(headers: CIMultiDictProxy[str], excluded: frozenset[str]) -> CIMultiDict[str]:
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -20,7 +20,7 @@
 
 from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
 from waxwingshelf.core.clock import Clock
-from waxwingshelf.core.quantities import Sequence
+from waxwingshelf.core.quantities import Sequence, parse_count
 from waxwingshelf.platform.settings import Endpoint, InstanceSettings
 from waxwingshelf.platform.store import WatchBatch
 from waxwingshelf.serving.client_sessions import build_session
@@ -399,8 +399,10 @@
         """Answer a peer with the changes after its position, or with all keys."""
         mirror = self._routing_state.mirror
         # An instance of an earlier build sends no era.
-        era = _parse_number(request.query.get("era", ""), mirror.position.era)
-        after = Position(era, _parse_number(request.query.get("after", ""), 0))
+        era = parse_count(request.query.get("era", ""))
+        if era is None:
+            era = mirror.position.era
+        after = Position(era, parse_count(request.query.get("after", "")) or 0)
         changes = mirror.list_changes_since(after)
         whole = changes is None
         items = mirror.list_items() if changes is None else changes
@@ -512,7 +514,3 @@
     if not decompressor.eof:
         raise BodyLimitError(f"state incomplete or over {_MAX_STATE_BYTES} bytes")
     return state
-
-
-def _parse_number(text: str, default: int) -> int:
-    return int(text) if text.isdigit() else default
--- a/src/waxwingshelf/steering/limits.py
+++ b/src/waxwingshelf/steering/limits.py
@@ -24,6 +24,8 @@
 START_DURATION_MS = 500
 
 _MS_PER_S = 1_000
+# The wait for a token of a tiny share of a rate.
+_MAX_WAIT_MS = 3_600_000
 # Only these fractions of the ratio and the slack are used, because the limits hold for sliding
 # windows and instances learn of each other with a delay.
 _RETRY_RATIO_FRACTION = 0.6
@@ -142,7 +144,8 @@
         rate = self.rate_per_s * self._share
         if rate <= 0:
             return _MS_PER_S
-        return int(max(0.0, 1.0 - self._tokens) / rate * _MS_PER_S) + 1
+        wait_ms = max(0.0, 1.0 - self._tokens) / rate * _MS_PER_S
+        return int(min(wait_ms, _MAX_WAIT_MS)) + 1
 
     def _refill(self, now_ms: int) -> None:
         gained = self._compute_gain(now_ms - self._at_ms)
--- a/tests/serving/test_restore_fuzz.py
+++ b/tests/serving/test_restore_fuzz.py
@@ -67,7 +67,7 @@
     def encode(self) -> bytes:
         return json.dumps(
             {
-                "address": "h:1",
+                "address": "127.0.0.1:1",
                 "information": {"service": SERVICE, "zone": "north-1", "slots": 4},
                 "status": {"state": self.state, "sequence": self.number},
                 "born": self.started_ms,
--- a/tests/serving/test_values_from_outside.py
+++ b/tests/serving/test_values_from_outside.py
@@ -117,3 +117,32 @@
         await check_serving(deployment)
 
     run_scenario(scenario, uvloop.run)
+
+
+def test_value_that_is_no_base64_costs_only_its_key(run_scenario) -> None:
+    """Guards against an error in the task that watches the store, over one item of an answer."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        deployment.store.put("servers/other-writer", {})
+        deployment.store.items["servers/other-writer"].value = "a"
+        deployment.register("t0", version="later")
+        await check_serving(deployment)
+        await deployment.start_instance("n2")
+        await deployment.wait_until_ready("n2")
+        await check_serving(deployment)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("era", ["²", "9" * 5_000, "-1"])
+def test_era_that_is_no_number_is_ignored(run_scenario, era) -> None:
+    """Guards against an error in the tasks that call the store, over a header of its answers."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment)
+        deployment.store.era = era
+        deployment.register("t0", sequence=2)
+        await check_serving(deployment)
+
+    run_scenario(scenario)
