Carry a configuration's version of any length in heartbeats

Cause: the version is a number of any length to the reader, but heartbeats carry it, and the encoder of datagrams takes no integer beyond 2^64 - 1. The error ended the tasks that announce the instance and send heartbeats, and an instance ends with any of its tasks.

Change: a version beyond 2^63 - 1 goes as digits in a field at the end of heartbeats, which earlier builds ignore; they get 2^63 - 1 in its place, which they can send on. The reader takes up to 300 ASCII digits, which the metric's float holds. It works since no encoder meets the number itself, and peers still compare whole versions.

A brief heartbeat is one byte longer; tests that cut fields off its end count one field more.

--- a/src/waxwingshelf/core/quantities.py
+++ b/src/waxwingshelf/core/quantities.py
@@ -11,8 +11,10 @@
 import msgspec
 
 __all__ = [
+    "MAX_SEQUENCE",
     "Amount",
     "Count",
+    "LongNumber",
     "Port",
     "PortOrNone",
     "Rank",
@@ -20,6 +22,8 @@
     "Slots",
     "bound_rate",
     "parse_count",
+    "parse_long_number",
+    "split_long_number",
 ]
 
 _MAX_RANK = 1_000_000
@@ -28,6 +32,7 @@
 _MAX_AMOUNT = 1e12
 # Below 2**53.
 _MAX_COUNT_DIGITS = 15
+_MAX_LONG_DIGITS = 300
 
 # A finite number that is not negative: a rate, a factor, a weight, a time; infinity is excluded.
 Amount = Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
@@ -35,7 +40,10 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 # A number that only rises: a revision, the start of a process in nanoseconds, a message's number.
 # Every encoder holds it, and one that is added to it.
-Sequence = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+MAX_SEQUENCE = 2**63 - 1
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+# The digits of a number of any size that a float can hold, or none.
+LongNumber = Annotated[str, msgspec.Meta(pattern=rf"^[0-9]{{0,{_MAX_LONG_DIGITS}}}\Z")]
 # The number of requests that a target runs at once. Numbers that stand for "no limit" are higher.
 Slots = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -52,6 +60,16 @@
     return int(text)
 
 
+def parse_long_number(text: str) -> int | None:
+    """Return the number that up to 300 ASCII digits write; None if the text is anything else."""
+    return parse_count(text, _MAX_LONG_DIGITS)
+
+
+def split_long_number(number: int) -> tuple[int, str]:
+    """Return a number that a message holds, and the digits of one that is larger, or none."""
+    return (number, "") if number <= MAX_SEQUENCE else (MAX_SEQUENCE, str(number))
+
+
 def bound_rate(per_s: float) -> float:
     """Return a rate that can be divided by and summed up; 0, which means no limit, stays 0."""
     return min(_MAX_AMOUNT, max(_MIN_RATE_PER_S, per_s)) if per_s > 0 else 0.0
--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from waxwingshelf.core.addresses import parse_address
-from waxwingshelf.core.quantities import Amount, Count, Rank, Slots, bound_rate
+from waxwingshelf.core.quantities import Amount, Count, Rank, Slots, bound_rate, parse_long_number
 from waxwingshelf.platform.names import (
     EVACUATION_PREFIX,
     MEMBER_LIST_PREFIX,
@@ -331,9 +331,10 @@
 
 
 def _parse_version(text: str) -> int:
-    if not text.startswith("r") or not text[1:].isdigit():
+    number = parse_long_number(text[1:])
+    if not text.startswith("r") or number is None:
         raise ValueError(f"version: {text!r} is not 'r' followed by a number")
-    return int(text[1:])
+    return number
 
 
 def _build_caller_limits(limits: _Limits) -> CallerLimits:
--- a/src/waxwingshelf/serving/peer_messages.py
+++ b/src/waxwingshelf/serving/peer_messages.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from waxwingshelf.core.hashing import hash_to_uint32
-from waxwingshelf.core.quantities import Count, Sequence
+from waxwingshelf.core.quantities import Count, LongNumber, Sequence
 from waxwingshelf.serving.tolerant_messages import TolerantDecoder
 from waxwingshelf.steering.fleet import Heartbeat, LoadReport, PeerAddress
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
@@ -71,12 +71,13 @@
     demand: dict[str, Count]
     watching: bool
     era: Sequence
-    config_version: int
+    config_version: Sequence
     acked_boot: Sequence | None = None
     acked_number: Sequence = 0
     reaches_targets: bool | None = None
     service_slots: Any = None
     region_slots: Any = None
+    long_config_version: LongNumber = ""
 
 
 class BriefLoadReport(msgspec.Struct, array_like=True):
@@ -132,6 +133,7 @@
         heartbeat.reaches_targets,
         heartbeat.service_slots,
         heartbeat.region_slots,
+        heartbeat.long_config_version,
     )
     return BRIEF_HEARTBEAT_TYPE + msgspec.msgpack.encode(brief)
 
@@ -180,6 +182,7 @@
         reaches_targets=brief.reaches_targets,
         service_slots=brief.service_slots,
         region_slots=brief.region_slots,
+        long_config_version=brief.long_config_version,
     )
 
 
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -20,7 +20,7 @@
 
 from waxwingshelf.core.bounded_reads import BodyLimitError, read_bounded
 from waxwingshelf.core.clock import Clock
-from waxwingshelf.core.quantities import Sequence, parse_count
+from waxwingshelf.core.quantities import Sequence, parse_count, split_long_number
 from waxwingshelf.platform.settings import Endpoint, InstanceSettings
 from waxwingshelf.platform.store import WatchBatch
 from waxwingshelf.serving.client_sessions import build_session
@@ -260,6 +260,7 @@
     def _make_heartbeat(self) -> Heartbeat:
         self._heartbeat_number += 1
         position = self._routing_state.mirror.position
+        config_version, long_config_version = split_long_number(self._routing_state.config_version)
         heartbeat = Heartbeat(
             self.address,
             self._boot,
@@ -269,10 +270,11 @@
             {} if self._fleet.is_large() else self._demand_tracker.list_demand_rates(),
             self.is_watching(),
             position.era,
-            self._routing_state.config_version,
+            config_version,
             brief=True,
             ack=DemandAck(),
             reaches_targets=self.reaches_targets(),
+            long_config_version=long_config_version,
         )
         self._fleet.record_sent_heartbeat(heartbeat, self._clock.now_ms())
         return heartbeat
--- a/src/waxwingshelf/steering/fleet.py
+++ b/src/waxwingshelf/steering/fleet.py
@@ -111,7 +111,7 @@
         peer.boot, peer.number = heartbeat.boot, heartbeat.number
         peer.ready = heartbeat.ready
         peer.position = Position(heartbeat.era, heartbeat.revision)
-        peer.config_version = heartbeat.config_version
+        peer.config_version = heartbeat.full_config_version
         peer.demand = heartbeat.demand
         peer.watching = heartbeat.watching
         peer.brief = heartbeat.brief
--- a/src/waxwingshelf/steering/peer_reports.py
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from waxwingshelf.core.addresses import Ipv4Address, Ipv4Endpoint
-from waxwingshelf.core.quantities import Amount, Count, Port, PortOrNone, Sequence
+from waxwingshelf.core.quantities import Amount, Count, LongNumber, Port, PortOrNone, Sequence
 from waxwingshelf.steering.load_reports import DEFAULT_VALIDITY_MS
 from waxwingshelf.steering.mirror import Position
 from waxwingshelf.steering.sent_demand import DemandAck
@@ -40,8 +40,9 @@
     owners report their demand to each other. `boot` identifies the run of the sender's process; a
     heartbeat is outdated if its (`boot`, `number`) is not greater than the last. `watching` is set
     if the sender watches the store itself. `revision` and `era` are the position of the sender's
-    mirror of the store; `config_version` is the configuration that it uses, or 0. `brief` is set if
-    the sender reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat
+    mirror of the store; `config_version` is the configuration that it uses, or 0. A version beyond
+    `MAX_SEQUENCE` is in `long_config_version`, and `config_version` is that number, since builds
+    that do not know the second field reject a larger one in the first. `brief` is set if the sender reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat
     whose demand the sender's shares use; None if the sender's build does not tell.
     `reaches_targets` is False if the sender has lost its links to the targets, and None if its
     build does not tell and does not send to targets for peers. `service_slots` is the demand of the
@@ -57,13 +58,19 @@
     demand: dict[str, Amount]
     watching: bool = False
     era: Sequence = 0
-    config_version: int = 0
+    config_version: Sequence = 0
     brief: bool = False
     ack: DemandAck | None = None
     reaches_targets: bool | None = None
     # Not checked when decoded, so that a malformed value leaves the rest of the heartbeat usable.
     service_slots: Any = None
     region_slots: Any = None
+    long_config_version: LongNumber = ""
+
+    @property
+    def full_config_version(self) -> int:
+        """Return the version of the configuration that the sender uses, whatever its length."""
+        return int(self.long_config_version or self.config_version)
 
 
 class LoadReport(msgspec.Struct, frozen=True):
--- a/tests/serving/test_peer_messages.py
+++ b/tests/serving/test_peer_messages.py
@@ -6,6 +6,7 @@
 import pytest
 from msgspec.structs import replace
 
+from waxwingshelf.core.quantities import split_long_number
 from waxwingshelf.serving.peer_messages import (
     HEARTBEAT_TYPE,
     LOAD_REPORT_TYPE,
@@ -47,7 +48,7 @@
     assert len(body) < len(encode_heartbeat(HEARTBEAT)) * MAX_BRIEF_HEARTBEAT_FRACTION
 
 
-@pytest.mark.parametrize(("missing_fields", "ack"), [(3, ACK), (5, None)])
+@pytest.mark.parametrize(("missing_fields", "ack"), [(4, ACK), (6, None)])
 def test_brief_heartbeats_of_earlier_builds_are_read(missing_fields, ack) -> None:
     row = msgspec.msgpack.decode(encode_brief_heartbeat(HEARTBEAT)[1:])
     body = msgspec.msgpack.encode(row[:-missing_fields])
@@ -72,13 +73,28 @@
 @pytest.mark.parametrize("value", ["x", 1.5, [1], {"x": 1}])
 def test_malformed_demand_leaves_the_rest_of_a_heartbeat(value) -> None:
     row = msgspec.msgpack.decode(encode_brief_heartbeat(HEARTBEAT)[1:])
-    body = msgspec.msgpack.encode([*row[:-1], value])
+    row[-2] = value
+    body = msgspec.msgpack.encode(row)
     heartbeat = expand_heartbeat(decode_brief_heartbeat(body), ADDRESS)
     assert heartbeat.revision == HEARTBEAT.revision
     full = msgspec.to_builtins(HEARTBEAT) | {"service_slots": value}
     assert decode_heartbeat(msgspec.msgpack.encode(full)).boot == BOOT
 
 
+@pytest.mark.parametrize("version", [0, 7, 2**63 - 1, 2**63, 2**64, 20261207045959123456, 10**299])
+def test_version_of_any_length_reaches_peers(version) -> None:
+    """Guards against an encoder that takes no integer over 64 bits, in the task of heartbeats."""
+    number, digits = split_long_number(version)
+    told = replace(HEARTBEAT, config_version=number, long_config_version=digits)
+    full = decode_heartbeat(encode_heartbeat(told)[1:])
+    brief = encode_brief_heartbeat(told)[1:]
+    expanded = expand_heartbeat(decode_brief_heartbeat(brief), ADDRESS)
+    assert full.full_config_version == expanded.full_config_version == version
+    # Builds that do not know the last field read all others, and a number that they can send on.
+    earlier = msgspec.msgpack.encode(msgspec.msgpack.decode(brief)[:-1])
+    assert 0 <= decode_brief_heartbeat(earlier).config_version <= 2**63 - 1
+
+
 def test_brief_load_report_expands_to_the_full_one() -> None:
     report = LoadReport(ADDRESS.name, BOOT, 3, {4_000_000_000: 2, 17: 1})
     body = encode_brief_load_report(report)
--- a/tests/serving/test_values_from_outside.py
+++ b/tests/serving/test_values_from_outside.py
@@ -1,6 +1,7 @@
 """A value from outside costs its own entry, message or request, and never ends an instance."""
 
 import asyncio
+import json
 import socket
 from typing import Any
 
@@ -8,7 +9,7 @@
 import pytest
 import uvloop
 
-from tests.serving.conftest import HOST, Deployment
+from tests.serving.conftest import CONFIG, HOST, Deployment
 from waxwingshelf.platform.documents import make_listed_member_key, make_member_key
 from waxwingshelf.serving.peer_messages import HEARTBEAT_TYPE
 
@@ -42,6 +43,10 @@
     assert not any(run.done() for run in runs)
 
 
+def encode(document: Any) -> bytes:
+    return json.dumps(document).encode()
+
+
 def build_entry(port: int, **information: Any) -> dict[str, Any]:
     return {
         "address": f"{HOST}:{port}",
@@ -146,3 +151,59 @@
         await check_serving(deployment)
 
     run_scenario(scenario)
+
+
+LONG_VERSIONS = [2**63, 2**64, 20261207045959123456, pytest.param(10**299, id="300 digits")]
+
+
+@pytest.mark.parametrize("version", LONG_VERSIONS)
+def test_config_version_of_any_length_is_in_force(run_scenario, version) -> None:
+    """Guards against a version beyond 64 bits that ended all instances, and each one at its start.
+
+    Heartbeats, log lines and metrics hold the version.
+    """
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        deployment.store.put("op/config", {**CONFIG, "version": f"r{version}"})
+        await deployment.start_instance("n2")
+        await deployment.wait_until_ready("n2")
+        await check_serving(deployment)
+        for name, instance in deployment.instances.items():
+            assert instance._routing_state.config_version == version
+            peers = instance._fleet.list_peers()
+            assert [peer.config_version for peer in peers] == [version, version]
+            status, _ = await deployment.fetch(deployment.settings[name].readiness, "/metrics")
+            assert status == 200
+
+    run_scenario(scenario)
+
+
+def test_instance_without_the_store_reads_a_long_version_from_a_peer(run_scenario) -> None:
+    """Guards against two long versions that look the same to peers, so that the older one stays."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        for number in (10**20, 10**20 + 1):
+            document = {**CONFIG, "version": f"r{number}"}
+            deployment.instances["n0"]._routing_state.apply_config(encode(document), "test")
+            instance = deployment.instances["n1"]
+            await deployment.wait_until(
+                lambda: instance._routing_state.config_version == number  # noqa: B023
+            )
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("version", ["r" + "9" * 301, "r²", "r-1", "r" + "9" * 5_000])
+def test_config_with_an_unusable_version_leaves_the_one_before(run_scenario, version) -> None:
+    """Guards against a version that raises where it is read, and ends the reader."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment, 2)
+        deployment.store.put("op/config", {**CONFIG, "version": version})
+        await check_serving(deployment)
+        for instance in deployment.instances.values():
+            assert instance._routing_state.config_version == 1
+
+    run_scenario(scenario)
