--- a/src/waxwingshelf/steering/peer_reports.py
+++ b/src/waxwingshelf/steering/peer_reports.py
@@ -42,8 +42,9 @@
     if the sender watches the store itself. `revision` and `era` are the position of the sender's
     mirror of the store; `config_version` is the configuration that it uses, or 0. A version beyond
     `MAX_SEQUENCE` is in `long_config_version`, and `config_version` is that number, since builds
-    that do not know the second field reject a larger one in the first. `brief` is set if the sender reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat
-    whose demand the sender's shares use; None if the sender's build does not tell.
+    that do not know the second field reject a larger one in the first. `brief` is set if the sender
+    reads brief messages; see `serving.peer_messages`. `ack` is the recipient's heartbeat whose
+    demand the sender's shares use; None if the sender's build does not tell.
     `reaches_targets` is False if the sender has lost its links to the targets, and None if its
     build does not tell and does not send to targets for peers. `service_slots` is the demand of the
     sender's callers, and `region_slots` that of all callers in the sender's region, in tenths of
