Keep the weights of a traffic split as they were written

Without any weight the last part gets every request.

Evidence: the new test decodes the configuration and counts choices; on the code before, 5,000 of 5,000 went to the last part with 0.9 and 0.1, and 1.9 to 0.1 was played as 1 to 0.

Change: a weight is a float from the document to the choice. A part without a weight is not chosen, also when rounding leaves a remainder. Related: timeouts, objectives and cold times below a millisecond were cut to 0 by the same int(). It works since nothing between the document and the choice changes the proportions.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable, Iterator
 from typing import Any
 
@@ -292,7 +293,7 @@
             version=entry.information.version,
             slots=entry.information.slots,
             draining=entry.status.state == "draining",
-            cold_for_ms=int(entry.status.cold_remaining_ms),
+            cold_for_ms=math.ceil(entry.status.cold_remaining_ms),
             started_ms=entry.born,
             entry_number=entry.status.sequence,
         )
@@ -351,18 +352,18 @@
     destinations: tuple[Destination, ...]
     if action.traffic_split:
         destinations = tuple(
-            Destination(part.service, int(part.weight)) for part in action.traffic_split
+            Destination(part.service, part.weight) for part in action.traffic_split
         )
     else:
         destinations = (Destination(action.service or _NO_NAME, 1),)
-    timeout_ms = int(action.timeout_ms or _DEFAULT_TIMEOUT_MS)
+    timeout_ms = _cut_to_ms(action.timeout_ms or _DEFAULT_TIMEOUT_MS)
     return RouteRule(
         name=rule.name,
         host=host.lower(),
         prefix=rule.match.path_prefix,
         kind=RouteKind(rule.kind) if rule.kind in _KNOWN_KINDS else _UNKNOWN_KIND,
         destinations=destinations,
-        latency_objective_ms=int(rule.target_latency_ms or timeout_ms),
+        latency_objective_ms=_cut_to_ms(rule.target_latency_ms or timeout_ms),
         timeout_ms=timeout_ms,
         attempts=max(1, action.attempts or 1),
         priority=rule.priority or 0,
@@ -372,12 +373,17 @@
     )
 
 
+def _cut_to_ms(time_ms: float) -> int:
+    """Return whole milliseconds; a time below one is not cut to none, which allows no request."""
+    return max(1, int(time_ms))
+
+
 def _build_service_rule(entry: _Cluster) -> ServiceRule:
     return ServiceRule(
         name=entry.name,
         health_path=entry.health_path,
         max_connections=entry.max_connections or 0,
-        cold_start_ms=int((entry.cold_start_s or 0) * _MS_PER_S),
+        cold_start_ms=math.ceil((entry.cold_start_s or 0) * _MS_PER_S),
         cold_per_s=bound_rate(entry.cold_per_s or 0.0),
     )
 
--- a/src/waxwingshelf/steering/config.py
+++ b/src/waxwingshelf/steering/config.py
@@ -34,10 +34,10 @@
 
 
 class Destination(msgspec.Struct, frozen=True):
-    """A service and its weight in a traffic split."""
+    """A service and its weight in a traffic split, which may be a fraction."""
 
     service: str
-    weight: int
+    weight: float
 
 
 class RouteRule(msgspec.Struct, frozen=True):
--- a/src/waxwingshelf/steering/routes.py
+++ b/src/waxwingshelf/steering/routes.py
@@ -49,13 +49,16 @@
     """Return a service chosen in proportion to the weights, always the same for one request id."""
     if len(route.destinations) == 1:
         return route.destinations[0].service
-    total = sum(destination.weight for destination in route.destinations)
+    # Without any weight there are no proportions, and the last service gets all.
+    weighted = [part for part in route.destinations if part.weight > 0] or route.destinations[-1:]
+    total = sum(destination.weight for destination in weighted)
     point = hash_to_unit_interval("split", request_id) * total
-    for destination in route.destinations:
+    for destination in weighted:
         point -= destination.weight
         if point < 0:
             return destination.service
-    return route.destinations[-1].service
+    # Rounding has left nothing of the last weight.
+    return weighted[-1].service
 
 
 def resolve_allowed_regions(
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -147,6 +147,22 @@
     assert decode_member(encode_member(address)) == address
 
 
+def test_time_below_a_millisecond_is_not_cut_to_none() -> None:
+    """Guards against a timeout or an objective that no request can meet, and a cold target."""
+    rule = CONFIG["listeners"][0]["rules"][0]
+    rule = {**rule, "target_latency_ms": 0.4, "action": {"service": "a", "timeout_ms": 0.6}}
+    document = {
+        **CONFIG,
+        "listeners": [{"host": "a.example", "rules": [rule]}],
+        "clusters": [{"name": "a", "cold_start_s": 0.0001}],
+    }
+    config = decode_config(encode(document))
+    assert (config.routes[0].timeout_ms, config.routes[0].latency_objective_ms) == (1, 1)
+    assert config.services["a"].cold_start_ms == 1
+    status = {**SERVER_ENTRY["status"], "cold_remaining_ms": 0.2}
+    assert decode_target("i-1", encode({**SERVER_ENTRY, "status": status})).cold_for_ms == 1
+
+
 def test_target_with_many_slots_is_used() -> None:
     """Guards against a bound on slots that real targets reach."""
     information = {**SERVER_ENTRY["information"], "slots": 1_000_000}
--- a/tests/steering/test_routes.py
+++ b/tests/steering/test_routes.py
@@ -1,9 +1,11 @@
 """Tests of route lookup, traffic splits, allowed regions and priorities."""
 
+import json
 from collections import Counter
 
 import pytest
 
+from waxwingshelf.platform.documents import decode_config
 from waxwingshelf.steering.config import (
     CallerLimits,
     Destination,
@@ -71,6 +73,30 @@
     assert choose_service(route, "id-7") == choose_service(route, "id-7")
 
 
+@pytest.mark.parametrize(
+    ("weights", "shares"),
+    [
+        ((0.9, 0.1), (0.9, 0.1)),
+        ((0.5, 0.25, 0.25), (0.5, 0.25, 0.25)),
+        ((1e-6, 9e-6), (0.1, 0.9)),
+        ((1.9, 0.1), (0.95, 0.05)),
+        ((1e12, 1e12), (0.5, 0.5)),
+        ((1, 0.5, 0), (2 / 3, 1 / 3, 0)),
+        ((5e-324, 0), (1, 0)),
+        ((0, 0), (0, 1)),
+    ],
+)
+def test_traffic_split_follows_weights_of_any_size(weights, shares) -> None:
+    """Guards against weights cut to whole numbers, which sent all requests to the last service."""
+    parts = [{"service": f"s{number}", "weight": weight} for number, weight in enumerate(weights)]
+    rule = {"name": "r", "match": {"path_prefix": "/"}, "action": {"traffic_split": parts}}
+    document = {"version": "r1", "listeners": [{"host": "a.example", "rules": [rule]}]}
+    route = decode_config(json.dumps(document).encode()).routes[0]
+    counts = Counter(choose_service(route, f"id-{number}") for number in range(5_000))
+    for number, share in enumerate(shares):
+        assert counts[f"s{number}"] / 5_000 == pytest.approx(share, abs=0.02 if share % 1 else 0)
+
+
 def test_allowed_regions_are_intersection_of_route_and_organisation() -> None:
     organisation = OrganisationRule("o", (), None, 0, 0, frozenset({"north", "south"}))
     route = make_route(allowed_regions=frozenset({"south", "west"}))
