Ask for keys when the list of organisations is empty

Cause: an empty list of organisations and a missing one became the same empty table, and an empty table meant that no key is asked for.

Evidence: test_config_without_organisations_lets_no_key_in got 200 where 401 is due.

Change: the configuration says whether keys are asked for, which it does if the list is there. Related: a key that is not UTF-8 raised in the hash of the product's own interface. It works since the two cases are told apart where the document is read, and nothing concludes from the table's size.

--- a/src/waxwingshelf/core/config.py
+++ b/src/waxwingshelf/core/config.py
@@ -11,6 +11,7 @@
 from waxwingshelf.core.blocks import BlockTable, build_block_table
 from waxwingshelf.core.budgets import build_limits
 from waxwingshelf.core.manifest import Manifest, Operator, Target, list_faults, parse_manifest
+from waxwingshelf.core.opaque_text import encode_text
 
 __all__ = ["Config", "Revision", "build_config", "find_operator", "hash_key"]
 
@@ -64,7 +65,7 @@
 
     Only digests are compared: a digest that an attacker learns by timing does not reveal its key.
     """
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(encode_text(key)).hexdigest()
 
 
 def find_operator(config: Config | None, key: str, bootstrap_digest: str | None) -> Operator | None:
--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -203,6 +203,7 @@
                 entry.name: _build_organisation_rule(entry) for entry in document.tenants or []
             },
             unknown_values=(*malformed, *_list_unknown_values(rule for _, rule in rules)),
+            asks_for_keys=document.tenants is not None,
         )
     except (ValueError, RecursionError) as error:
         raise DecodeError(str(error)) from None
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -336,7 +336,7 @@
 def _authenticate(
     request: web.BaseRequest, config: SteeringConfig, route: RouteRule
 ) -> OrganisationRule | Refusal | None:
-    if route.public or not config.organisations:
+    if route.public or not config.asks_for_keys:
         return None
     key = request.headers.get(CREDENTIAL_HEADER, "")
     organisation = config.organisations_by_key.get(key)
--- a/src/waxwingshelf/steering/config.py
+++ b/src/waxwingshelf/steering/config.py
@@ -110,7 +110,11 @@
 
 
 class SteeringConfig(msgspec.Struct, frozen=True):
-    """One version of the configuration, with lookup tables by host and by API key."""
+    """One version of the configuration, with lookup tables by host and by API key.
+
+    If `asks_for_keys` is set, requests of routes that are not public need the key of an
+    organisation, also when there is no organisation.
+    """
 
     version: int
     limits: CallerLimits
@@ -118,6 +122,7 @@
     services: dict[str, ServiceRule]
     organisations: dict[str, OrganisationRule]
     unknown_values: tuple[UnknownValue, ...] = ()
+    asks_for_keys: bool = False
     routes_by_host: dict[str, dict[str, RouteRule]] = msgspec.field(default_factory=dict)
     organisations_by_key: dict[str, OrganisationRule] = msgspec.field(default_factory=dict)
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -14,6 +14,7 @@
 )
 from waxwingshelf.steering.config import Destination, RouteKind
 from waxwingshelf.steering.fleet import PeerAddress
+from waxwingshelf.steering.routes import resolve_allowed_regions
 
 SERVER_ENTRY: dict[str, Any] = {
     "address": "10.128.0.9:8080",
@@ -147,6 +148,51 @@
     assert decode_member(encode_member(address)) == address
 
 
+@pytest.mark.parametrize(
+    ("change", "asks_for_keys"),
+    [({"tenants": []}, True), ({"tenants": None}, False), ({}, True), ("tenants", False)],
+)
+def test_keys_are_asked_for_if_there_is_a_list_of_organisations(change, asks_for_keys) -> None:
+    """Guards against an empty list that is taken for a missing one, which asks for no key."""
+    document = {**CONFIG, **change} if isinstance(change, dict) else CONFIG.copy()
+    if change == "tenants":
+        del document["tenants"]
+    assert decode_config(encode(document)).asks_for_keys is asks_for_keys
+
+
+REGIONS = {"north", "south"}
+
+
+@pytest.mark.parametrize("regions", [[], None, "missing"])
+def test_empty_and_missing_lists_of_home_regions_bind_nothing(regions) -> None:
+    """The platform writes an empty list for what is not bound."""
+    rule = CONFIG["listeners"][0]["rules"][0]
+    listed = {} if regions == "missing" else {"home_regions": regions}
+    action = {"service": "a", **listed}
+    document = {
+        **CONFIG,
+        "tenants": [{"name": "o", "api_keys": ["k"], **listed}],
+        "listeners": [{"host": "a.example", "rules": [{**rule, "action": action}]}],
+    }
+    config = decode_config(encode(document))
+    bound = resolve_allowed_regions(config.routes[0], config.organisations["o"], frozenset(REGIONS))
+    assert bound == frozenset()
+
+
+@pytest.mark.parametrize("listed", [{}, {"api_keys": []}])
+def test_organisation_without_keys_is_nobodys(listed) -> None:
+    config = decode_config(encode({**CONFIG, "tenants": [{"name": "o", **listed}]}))
+    assert config.asks_for_keys
+    assert config.organisations_by_key == {}
+
+
+@pytest.mark.parametrize("listed", [{}, {"traffic_split": []}])
+def test_route_without_a_split_goes_to_its_service(listed) -> None:
+    rule = {"name": "r", "match": {"path_prefix": "/"}, "action": {"service": "a", **listed}}
+    document = {**CONFIG, "listeners": [{"host": "a.example", "rules": [rule]}]}
+    assert decode_config(encode(document)).routes[0].destinations == (Destination("a", 1),)
+
+
 def test_time_below_a_millisecond_is_not_cut_to_none() -> None:
     """Guards against a timeout or an objective that no request can meet, and a cold target."""
     rule = CONFIG["listeners"][0]["rules"][0]
--- a/tests/serving/test_values_from_outside.py
+++ b/tests/serving/test_values_from_outside.py
@@ -207,3 +207,27 @@
             assert instance._routing_state.config_version == 1
 
     run_scenario(scenario)
+
+
+def test_config_without_organisations_lets_no_key_in(run_scenario) -> None:
+    """Guards against a last organisation that leaves and opens its routes to every key."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start_fleet(deployment)
+        rules = CONFIG["listeners"][0]["rules"]
+        public = {**rules[0], "name": "open", "match": {"path_prefix": "/open/"}, "public": True}
+        listeners = [{"host": "a.example", "rules": [*rules, public]}]
+        document = {**CONFIG, "listeners": listeners, "version": "r2", "tenants": []}
+        deployment.store.put("op/config", document)
+        routing_state = deployment.instances["n0"]._routing_state
+        await deployment.wait_until(lambda: routing_state.config_version == 2)
+        for key in ("acme-key", "no-key", ""):
+            for method, path in (("GET", "/read/x"), ("POST", "/order/x")):
+                assert (await deployment.send_request(path, "n0", method, key)).status == 401
+            assert (await deployment.send_request("/open/x", "n0", "GET", key)).status == 200
+        del document["tenants"]
+        deployment.store.put("op/config", {**document, "version": "r3"})
+        await deployment.wait_until(lambda: routing_state.config_version == 3)
+        assert (await deployment.send_request("/order/x", "n0", "POST", "no-key")).status == 200
+
+    run_scenario(scenario)
--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tools.schema import SCHEMA_PATH, render_schema
+from waxwingshelf.core.config import hash_key
 from waxwingshelf.core.manifest import list_faults
 from waxwingshelf.program.cli import EXIT_INVALID, EXIT_OK, main
 from waxwingshelf.program.settings import InvalidDocumentError, load_document
@@ -43,3 +44,8 @@
     report = capsys.readouterr().err
     for part in ("name", "port", "colour", "'store_host' is a required property"):
         assert part in report
+
+
+def test_key_of_any_bytes_is_unknown() -> None:
+    """Guards against a 500 for a key that is not UTF-8."""
+    assert hash_key("caf\udce9") != hash_key("caf")
