Contain an error to the round, entry, datagram or request that raised it

Cause: Instance.run ended with the first of its tasks. The rounds of the queues placed all waiting requests in one loop, inside their own task and inside requests that had ended: one that raised stayed in the queue and failed every round.

Change: supervise starts a task again that raised; an entry, a datagram, a read from a peer, a waiting request and the bookkeeping of a result are contained each for itself. A waiting request raises its own error and gets 500, or what its target has said. A timer at its deadline answers it even if the rounds fail. Failures logs each place with its traceback at most every ten seconds and counts them (waxwingshelf_failures, waxwingshelf_failing_places). It works since no error leaves the part that it concerns; only a port or settings that are unusable at the start end a process.

--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 import structlog
@@ -21,6 +22,7 @@
     refuse,
     refuse_expired,
 )
+from waxwingshelf.serving.failures import Failures
 from waxwingshelf.serving.hedged_sender import HedgedSender
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.placement_checks import NoPlacement, PlacementChecks
@@ -42,6 +44,8 @@
 
 _MS_PER_S = 1_000
 _QUEUE_POLL_INTERVAL_S = 0.02
+# Waiting requests are refused before their deadline, or this long after it if that has failed.
+_LATE_REFUSAL_MS = 100
 # A round of placement takes up to a few hundred microseconds if many requests wait. New and ended
 # requests then start a round no sooner than this after the last one.
 _MIN_ROUND_INTERVAL_MS = 5
@@ -75,8 +79,10 @@
         clock: Clock,
         metrics: Metrics,
         hedged_sender: HedgedSender | None = None,
+        failures: Failures | None = None,
     ) -> None:
         self._hedged_sender = hedged_sender
+        self._failures = failures or Failures(clock, metrics)
         self._routing_state = routing_state
         self._dispatch_state = dispatch_state
         self._sender = sender
@@ -105,7 +111,8 @@
             await self._has_waiting.wait()
             await asyncio.sleep(_QUEUE_POLL_INTERVAL_S)
             for service in list(self._queues):
-                self._refuse_late(service)
+                with self._failures.contain("late_requests", service=service):
+                    self._refuse_late(service)
                 self._serve_soon(service)
             if not any(self._queues.values()):
                 self._has_waiting.clear()
@@ -175,15 +182,17 @@
         self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
     ) -> Attempt | Refusal:
         exchange, future = waiter.item
+        left_ms = max(0, exchange.deadline_ms - self._clock.now_ms())
         try:
-            result = await future
+            async with asyncio.timeout((left_ms + _LATE_REFUSAL_MS) / _MS_PER_S):
+                result = await future
+        except TimeoutError:
+            # The rounds that refuse late requests have failed.
+            self._leave_queue(queue, waiter)
+            return refuse_expired(exchange)
         except asyncio.CancelledError:
-            queue.remove(waiter)
+            self._leave_queue(queue, waiter)
             self._metrics.organisation_waits.labels("left").inc()
-            if future.done() and not future.cancelled():
-                placed = future.result()
-                if isinstance(placed, Attempt):
-                    self._dispatch_state.finish_attempt(placed)
             raise
         if isinstance(result, NoPlacement):
             is_refused = result.reason is RefusalReason.NO_ROOM
@@ -194,6 +203,18 @@
         self._metrics.organisation_waits.labels("placed").inc()
         return result
 
+    def _leave_queue(
+        self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
+    ) -> None:
+        """Remove a request that no longer waits, and give back the place that it just got."""
+        queue.remove(waiter)
+        future = waiter.item[1]
+        if not future.done() or future.cancelled() or future.exception() is not None:
+            return
+        placed = future.result()
+        if isinstance(placed, Attempt):
+            self._dispatch_state.finish_attempt(placed)
+
     def _get_queue(self, service: str) -> WaitQueue[_QueuedRequest]:
         queue = self._queues.get(service)
         if queue is None:
@@ -255,9 +276,11 @@
         if not queue:
             return
         self._served_at_ms[service] = self._clock.now_ms()
-        self._refuse_unplaceable(service, queue)
-        place = functools.partial(self._place_waiter, queue)
-        queue.place_waiting(self._clock.now_ms(), place)
+        # A round runs inside requests that have just ended, which its errors do not concern.
+        with self._failures.contain("queue", service=service):
+            self._refuse_unplaceable(service, queue)
+            place = functools.partial(self._place_waiter, queue)
+            queue.place_waiting(self._clock.now_ms(), place)
 
     def _refuse_late(self, service: str) -> None:
         """Refuse the waiting requests that will probably get no target before their deadline."""
@@ -267,8 +290,9 @@
         self._refuse_unplaceable(service, queue)
         now_ms = self._clock.now_ms()
         for waiter in queue.expire(now_ms):
-            self._record_queue_position(waiter)
-            _resolve(waiter.item[1], self._build_expired(waiter, queue, now_ms))
+            with _pass_errors(waiter.item[1]):
+                self._record_queue_position(waiter)
+                _resolve(waiter.item[1], self._build_expired(waiter, queue, now_ms))
 
     def _build_expired(
         self, waiter: Waiter[_QueuedRequest], queue: WaitQueue[_QueuedRequest], now_ms: int
@@ -299,10 +323,13 @@
             return
         self._judged_versions[service] = version
         for waiter in queue.list_waiting():
-            obstacle = self._checks.find_obstacle(waiter.item[0])
-            if obstacle is not None:
+            exchange, future = waiter.item
+            with _pass_errors(future):
+                obstacle = self._checks.find_obstacle(exchange)
+                if obstacle is not None:
+                    _resolve(future, obstacle)
+            if future.done():
                 queue.remove(waiter)
-                _resolve(waiter.item[1], obstacle)
 
     def _place_waiter(
         self, queue: WaitQueue[_QueuedRequest], waiter: Waiter[_QueuedRequest]
@@ -311,11 +338,11 @@
         if future.done():
             # Its caller has left, and its task has not run since.
             return False
-        attempt = self._place(exchange, queue.needs_headroom(waiter, self._clock.now_ms()))
-        if attempt is None:
-            return False
-        _resolve(future, attempt)
-        return True
+        with _pass_errors(future):
+            attempt = self._place(exchange, queue.needs_headroom(waiter, self._clock.now_ms()))
+            if attempt is not None:
+                _resolve(future, attempt)
+        return future.done()
 
     def _place(self, exchange: Exchange, leaves_headroom: bool) -> Attempt | None:
         now_ms = self._clock.now_ms()
@@ -380,7 +407,9 @@
                 outgoing,
                 response_timeout_ms,
                 exchange.allowed_regions,
-                handle_report=lambda report: self._dispatch_state.record_report(attempt, report),
+                handle_report=self._failures.guard(
+                    "target_report", functools.partial(self._dispatch_state.record_report, attempt)
+                ),
                 may_still_send=lambda: (
                     may_send() and self._checks.may_still_send(exchange, attempt)
                 ),
@@ -395,7 +424,8 @@
             self._serve_soon(exchange.service)
         if not (isinstance(result, SendFailure) and result.kind.certainly_not_sent):
             exchange.is_trial = False
-        self._dispatch_state.record_result(exchange.route, exchange.object_key, attempt, result)
+        with self._failures.contain("result", request=exchange.id):
+            self._dispatch_state.record_result(exchange.route, exchange.object_key, attempt, result)
         return result
 
     def _process_result(
@@ -431,6 +461,16 @@
         )
 
 
+@contextlib.contextmanager
+def _pass_errors(future: asyncio.Future[Attempt | NoPlacement]) -> Iterator[None]:
+    """Let the waiting request that a block concerns raise its error, and no other."""
+    try:
+        yield
+    except Exception as error:
+        if not future.done():
+            future.set_exception(error)
+
+
 def _resolve(future: asyncio.Future[Attempt | NoPlacement], result: Attempt | NoPlacement) -> None:
     if not future.done():
         future.set_result(result)
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import aiohttp
 import structlog
@@ -31,6 +31,7 @@
 from waxwingshelf.serving.demand_tracker import DemandTracker
 from waxwingshelf.serving.dispatch_state import DispatchState
 from waxwingshelf.serving.dispatcher import Dispatcher
+from waxwingshelf.serving.failures import Failures, supervise
 from waxwingshelf.serving.hedged_sender import CopyConditions, HedgedSender
 from waxwingshelf.serving.internal_endpoints import InternalEndpoints
 from waxwingshelf.serving.logs import LogBuffer
@@ -113,10 +114,11 @@
         self._stop_requested = asyncio.Event()
         self._clock = clock = SystemClock()
         self._metrics = metrics = Metrics()
+        self._failures = failures = Failures(clock, metrics)
         # Each failure domain has an instance at least.
         min_instances = len(settings.regions)
         self._fleet = Fleet(settings.name, clock.now_ms(), settings.region, min_instances)
-        self._routing_state = RoutingState(clock, self._fleet)
+        self._routing_state = RoutingState(clock, self._fleet, failures)
         owner_reports = OwnerReports(settings.name, settings.region)
         self._demand_tracker = DemandTracker(
             clock, self._fleet, owner_reports, settings.bounds.rate_slack
@@ -127,7 +129,13 @@
         self._response_writer = ResponseWriter(clock, metrics)
         self._upstream = UpstreamClient(self._target_contact, open_target_socket, response_buffer)
         self._peer_network = PeerNetwork(
-            settings, self._fleet, self._routing_state, self._demand_tracker, clock, metrics
+            settings,
+            self._fleet,
+            self._routing_state,
+            self._demand_tracker,
+            clock,
+            metrics,
+            failures,
         )
         locality = _build_locality(settings)
         self._dispatch_state = dispatch_state = DispatchState(
@@ -169,8 +177,8 @@
         )
         self._crash_detector.on_crash = self._quarantine_keeper.report_crash
         self._upstream.result_handlers += [
-            self._crash_detector.record_result,
-            self._quarantine_keeper.record_result,
+            failures.guard("crash_detector", self._crash_detector.record_result),
+            failures.guard("quarantine_results", self._quarantine_keeper.record_result),
         ]
         self._relay = RelayEndpoint(
             self._upstream,
@@ -206,6 +214,7 @@
             clock,
             metrics,
             self._hedged_sender,
+            failures,
         )
         object_announcer = ObjectAnnouncer(
             self._peer_network, self._fleet, self._routing_state.targets, clock, metrics
@@ -221,6 +230,7 @@
             regions,
             response_buffer,
             self._response_writer,
+            failures,
         )
         self._internal_endpoints = InternalEndpoints(
             self._peer_network,
@@ -279,7 +289,11 @@
         _log.info("settings_reloaded", regions=sorted(set(settings.regions.values())))
 
     async def run(self) -> None:
-        """Run all tasks until the graceful shutdown is complete."""
+        """Run all tasks until the graceful shutdown is complete.
+
+        A task that raises is started again. Only what the instance cannot work without raises here,
+        such as a port that is in use.
+        """
         sessions = [build_session(_STORE_KEEPALIVE_S) for _ in range(2)]
         store = StoreClient(self._settings.store, *sessions)
         store_watcher = StoreWatcher(
@@ -304,35 +318,33 @@
         await self._open()
         _log_malformed_settings(self._settings)
         _log.info("started", callers=str(self._settings.callers), region=self._settings.region)
-        runs = {
-            "store_watch": store_watcher.run_watch(),
-            "registration": store_watcher.run_registration(),
-            "heartbeats": self._peer_network.run(),
-            "load_reports": self._peer_network.run_load_reports(),
-            "rate_limiter": self._rate_limiter.run(),
-            "readiness": self._announce_ready(),
-            "updates": self._run_updates(),
-            "dispatcher": self._dispatcher.run(),
-            "prober": self._prober.run(),
-            "quarantine_keeper": self._quarantine_keeper.run(),
-            "quarantine_store": self._quarantine_store.run(store),
-            "member_list": member_list_keeper.run(store),
-            "seed_reads": self._pull_from_seeds(),
-            "settings": self._poll_settings(),
+        runs: dict[str, Callable[[], Awaitable[None]]] = {
+            "store_watch": store_watcher.run_watch,
+            "registration": store_watcher.run_registration,
+            "heartbeats": self._peer_network.run,
+            "load_reports": self._peer_network.run_load_reports,
+            "rate_limiter": self._rate_limiter.run,
+            "readiness": self._announce_ready,
+            "updates": self._run_updates,
+            "dispatcher": self._dispatcher.run,
+            "prober": self._prober.run,
+            "quarantine_keeper": self._quarantine_keeper.run,
+            "quarantine_store": functools.partial(self._quarantine_store.run, store),
+            "member_list": functools.partial(member_list_keeper.run, store),
+            "seed_reads": self._pull_from_seeds,
+            "settings": self._poll_settings,
         }
-        tasks = [asyncio.create_task(run, name=name) for name, run in runs.items()]
-        stop_waiter = asyncio.create_task(self._stop_requested.wait())
+        tasks = [
+            asyncio.create_task(supervise(name, run, self._failures), name=name)
+            for name, run in runs.items()
+        ]
         try:
-            done, _ = await asyncio.wait([*tasks, stop_waiter], return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                if task is not stop_waiter:
-                    _log_failure(task)
-                    task.result()
+            await self._stop_requested.wait()
             await self._shut_down(store_watcher)
         finally:
-            for task in [*tasks, stop_waiter]:
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, stop_waiter, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
             await self._close(sessions)
         _log.info("stopped", in_flight=self._request_handler.in_flight)
         self._logs.close()
@@ -367,8 +379,6 @@
         if not self._stop_requested.is_set():
             self._peer_network.ready = True
             self._peer_network.send_heartbeats()
-        # Wait forever: a task that returns makes `run` shut the instance down.
-        await asyncio.Event().wait()
 
     async def _run_updates(self) -> None:
         while True:
@@ -381,6 +391,9 @@
                 self._response_writer.end_slow_readers(config.limits.idle_timeout_ms)
             self._metrics.response_bytes_held.set(self._response_room.held_bytes)
             self._metrics.store_restores.set(self._routing_state.store_restores)
+            self._metrics.failing_places.set(len(self._failures.list_failing()))
+            for kind, count in self._routing_state.rejected_entries.items():
+                self._metrics.rejected_entries.labels(kind).set(count)
             self._region_balancer.update()
             self._metrics.in_flight.set(self._request_handler.in_flight)
             silence_ms = self._target_contact.compute_silence_ms()
@@ -429,12 +442,6 @@
             _log.warning("connections_not_closed", timeout_s=_CLOSE_TIMEOUT_S)
 
 
-def _log_failure(task: asyncio.Task[Any]) -> None:
-    error = task.exception()
-    if error is not None:
-        _log.critical("task_failed", task=task.get_name(), exc_info=error)
-
-
 def _log_malformed_settings(settings: InstanceSettings) -> None:
     for fault in settings.malformed:
         _log.warning("settings_value_unknown", **asdict(fault))
--- a/src/waxwingshelf/serving/metrics.py
+++ b/src/waxwingshelf/serving/metrics.py
@@ -159,6 +159,23 @@
             "Times the store came back from an older copy of its data since this process started.",
             registry=registry,
         )
+        self.failures = Counter(
+            "waxwingshelf_failures",
+            "Unexpected errors by the place where they were contained, such as a background task.",
+            ["place"],
+            registry=registry,
+        )
+        self.failing_places = Gauge(
+            "waxwingshelf_failing_places",
+            "Places that had an unexpected error in the last ten seconds.",
+            registry=registry,
+        )
+        self.rejected_entries = Gauge(
+            "waxwingshelf_rejected_entries",
+            "Entries of the store that were malformed when they were read, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.dropped_log_lines = Gauge(
             "waxwingshelf_dropped_log_lines",
             "Log lines dropped because standard output was blocked.",
--- a/src/waxwingshelf/serving/peers.py
+++ b/src/waxwingshelf/serving/peers.py
@@ -25,6 +25,7 @@
 from waxwingshelf.platform.store import WatchBatch
 from waxwingshelf.serving.client_sessions import build_session
 from waxwingshelf.serving.demand_tracker import DemandTracker
+from waxwingshelf.serving.failures import Failures
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.peer_messages import (
     BRIEF_HEARTBEAT_TYPE,
@@ -125,7 +126,9 @@
         demand_tracker: DemandTracker,
         clock: Clock,
         metrics: Metrics,
+        failures: Failures | None = None,
     ) -> None:
+        self._failures = failures or Failures(clock, metrics)
         self._settings = settings
         self._fleet = fleet
         self._routing_state = routing_state
@@ -339,6 +342,8 @@
                 self._transport.sendto(encode_heartbeat(self._make_heartbeat()), sender)
         except (msgspec.DecodeError, RecursionError) as error:
             _log.warning("beat_rejected", detail=str(error))
+        except Exception as error:
+            self._failures.record("datagram", error, type=message_type)
 
     def send_to(self, address: PeerAddress, data: bytes) -> None:
         """Send a datagram to one peer."""
@@ -499,8 +504,11 @@
             _log.info("pull_failed", peer=f"{host}:{port}", detail=repr(error))
             return
         self._metrics.peer_pulls.labels("ok").inc()
+        with self._failures.contain("peer_state", peer=f"{host}:{port}"):
+            self._apply_state(state, f"{host}:{port}")
+
+    def _apply_state(self, state: _StateResponse, source: str) -> None:
         changes = [Change(key, revision, value) for key, revision, value in state.changes]
-        source = f"{host}:{port}"
         position = Position(state.era, state.as_of)
         if state.whole:
             self._routing_state.replace(changes, position, source)
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -28,6 +28,7 @@
     prefer_failed_response,
     refuse,
 )
+from waxwingshelf.serving.failures import Failures
 from waxwingshelf.serving.headers import (
     copy_end_to_end_headers,
     copy_request_headers,
@@ -91,7 +92,9 @@
         regions: frozenset[str],
         response_buffer: ResponseBuffer,
         response_writer: ResponseWriter,
+        failures: Failures,
     ) -> None:
+        self._failures = failures
         self._response_buffer = response_buffer
         self._response_writer = response_writer
         self._routing_state = routing_state
@@ -133,9 +136,11 @@
                 return await self._serve(received)
         except RequestInterruptedError:
             return _refuse_interrupted(received.exchange)
-        except Exception:
-            _log.exception("request_crashed", request=received.id)
-            return Refusal(RefusalReason.INTERNAL, Step.SEND, maybe_run=True)
+        except Exception as error:
+            self._failures.record("request", error, request=received.id)
+            refusal = Refusal(RefusalReason.INTERNAL, Step.SEND, maybe_run=True)
+            exchange = received.exchange
+            return refusal if exchange is None else prefer_failed_response(exchange, refusal)
 
     async def _serve(self, received: _ReceivedRequest) -> UpstreamResponse | Refusal:
         request = received.request
@@ -170,7 +175,8 @@
         with cancel_when_caller_leaves(request, exchange.outgoing.body):
             result = await self._dispatcher.dispatch(exchange)
         if isinstance(result, UpstreamResponse):
-            _log_response(exchange, result, received.received_ms, self._clock.now_ms())
+            with self._failures.contain("response_log", request=received.id):
+                _log_response(exchange, result, received.received_ms, self._clock.now_ms())
         if admission.bucket and isinstance(result, Refusal) and not result.maybe_run:
             admission.bucket.refund()
             self._metrics.rate_tokens.labels("returned").inc()
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import structlog
 from msgspec.structs import asdict
@@ -24,6 +25,7 @@
     parse_quarantined_request,
 )
 from waxwingshelf.platform.names import CONFIG_KEY
+from waxwingshelf.serving.failures import Failures
 from waxwingshelf.serving.target_entries import TargetEntries
 from waxwingshelf.steering.config import SteeringConfig
 from waxwingshelf.steering.fleet import Fleet
@@ -45,10 +47,13 @@
 class RoutingState:
     """Configuration, targets and evacuations from the store; member entries go to the fleet."""
 
-    def __init__(self, clock: Clock, fleet: Fleet) -> None:
+    def __init__(self, clock: Clock, fleet: Fleet, failures: Failures | None = None) -> None:
         self._clock = clock
         self._fleet = fleet
-        self._target_entries = TargetEntries(clock)
+        self._failures = failures or Failures(clock)
+        # By kind of entry, how many could not be decoded.
+        self.rejected_entries: Counter[str] = Counter()
+        self._target_entries = TargetEntries(clock, self._failures, self.rejected_entries)
         self.mirror = Mirror()
         self.targets = self._target_entries.registry
         self.quarantines = QuarantineList()
@@ -130,7 +135,8 @@
         now_ms = self._clock.now_ms()
         has_evacuation = False
         for change in changes:
-            self._apply_system_entry(change, source, now_ms)
+            with self._failures.contain("entry", key=change.key):
+                self._apply_system_entry(change, source, now_ms)
             domain = parse_evacuated_domain(change.key)
             if domain is not None:
                 has_evacuation = True
@@ -153,7 +159,8 @@
         self._target_entries.apply_restored(changes)
         now_ms = self._clock.now_ms()
         for change in changes:
-            self._apply_system_entry(change, source, now_ms + _MEMBER_HOLD_MS)
+            with self._failures.contain("entry", key=change.key):
+                self._apply_system_entry(change, source, now_ms + _MEMBER_HOLD_MS)
         for domain in self._evacuated - self._list_evacuated():
             self._held_evacuations_until_ms[domain] = now_ms + _EVACUATION_HOLD_MS
         self._update_evacuations()
@@ -176,6 +183,7 @@
         try:
             config = decode_config(value)
         except DecodeError as error:
+            self.rejected_entries["config"] += 1
             _log.error("config_rejected", revision=revision, detail=str(error))
             return
         if self.config is not None and config.version <= self.config.version:
@@ -202,6 +210,7 @@
         try:
             self._fleet.record_registered(decode_member(value))
         except DecodeError as error:
+            self.rejected_entries["member"] += 1
             _log.warning("member_rejected", member=name, detail=str(error))
 
     def _apply_listed_member(self, change: Change) -> None:
@@ -210,6 +219,7 @@
         try:
             self._fleet.record_listed(decode_member(change.value), self._clock.now_ms())
         except DecodeError as error:
+            self.rejected_entries["listed_member"] += 1
             _log.warning("member_rejected", member=change.key, detail=str(error))
 
     def _apply_quarantine(self, fingerprint: str, value: bytes, source: str) -> None:
@@ -217,6 +227,7 @@
         try:
             quarantine = decode_quarantine(value)
         except DecodeError as error:
+            self.rejected_entries["quarantine"] += 1
             _log.warning("quarantine_rejected", fingerprint=fingerprint, detail=str(error))
             return
         self.record_quarantine(fingerprint, quarantine, source)
--- a/src/waxwingshelf/serving/target_entries.py
+++ b/src/waxwingshelf/serving/target_entries.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import structlog
 
 from waxwingshelf.core.clock import Clock
 from waxwingshelf.platform.documents import DecodeError, decode_target, parse_target_id
+from waxwingshelf.serving.failures import Failures
 from waxwingshelf.steering.mirror import Change
 from waxwingshelf.steering.restored_entries import RestoredEntries
 from waxwingshelf.steering.targets import Target, TargetRegistry, is_mass_removal
@@ -20,8 +23,10 @@
 class TargetEntries:
     """Keep a target registry in line with the entries; a held target is removed after a delay."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, failures: Failures, rejected: Counter[str]) -> None:
         self._clock = clock
+        self._failures = failures
+        self._rejected = rejected
         self.registry = TargetRegistry()
         self._held_until_ms: dict[str, int] = {}
         self._store_recovered_ms: int | None = None
@@ -36,19 +41,21 @@
         entries = _list_entries(changes)
         hold_ms = self._compute_hold_ms(sum(change.value is None for _, change in entries))
         for target_id, change in entries:
-            if change.value is None:
-                self._hold_or_remove(target_id, hold_ms)
-            else:
-                self._put(target_id, change.value, change.revision)
+            with self._failures.contain("entry", key=change.key):
+                if change.value is None:
+                    self._hold_or_remove(target_id, hold_ms)
+                else:
+                    self._put(target_id, change.value, change.revision)
 
     def apply_restored(self, changes: list[Change]) -> None:
         """Apply the entries that an older copy of the store shows, or lacks."""
         self.record_store_recovered()
         for target_id, change in _list_entries(changes):
-            if change.value is None:
-                self._hold_or_remove(target_id, _REMOVAL_HOLD_MS)
-            else:
-                self._put_restored(target_id, change.value, change.revision)
+            with self._failures.contain("entry", key=change.key):
+                if change.value is None:
+                    self._hold_or_remove(target_id, _REMOVAL_HOLD_MS)
+                else:
+                    self._put_restored(target_id, change.value, change.revision)
 
     def expire(self) -> list[str]:
         """Remove held targets that did not reappear; return restored ones that are confirmed."""
@@ -104,6 +111,7 @@
         try:
             return decode_target(target_id, value)
         except DecodeError as error:
+            self._rejected["target"] += 1
             _log.warning("target_rejected", target=target_id, detail=str(error))
             self.registry.remove(target_id)
             return None
