Send paths on as they came, and read targets in the absolute form

Cause: the HTTP library's URLs drop an empty query (and a fragment); the route was looked up with the whole URL as the path.

Change: the raw path of a request is written in place of the URL's, to targets and to peers; read_target splits an absolute form, whose authority takes the place of the Host header. A request without a Host header no longer asks the machine for its name.

--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import Callable
 from contextvars import ContextVar
+from typing import Any
 
 import aiohttp
 import msgspec
 from multidict import CIMultiDictProxy
+from yarl import URL
 
 from waxwingshelf.core.clock import SystemClock
 from waxwingshelf.platform.names import DEADLINE_HEADER, REQUEST_ID_HEADER
@@ -55,9 +57,11 @@
 
     `started_ms` is when the send began to look for a connection. `abandoned` is set if the send was
     ended before its time. `is_idempotent` requests may be sent again although writing has begun.
-    `use` tells which connection carries the request.
+    `use` tells which connection carries the request. `raw_path` is written as it is, as the URLs of
+    the HTTP library leave out a fragment and an empty query.
     """
 
+    raw_path: str
     may_still_send: Callable[[], bool]
     deadline_ms: int | None
     started_ms: int
@@ -80,6 +84,17 @@
     _progress.set(progress)
 
 
+class _ExactUrl:
+    """A URL whose path and query are written as they were received."""
+
+    def __init__(self, url: URL, raw_path: str) -> None:
+        self._url = url
+        self.raw_path_qs = raw_path
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._url, name)
+
+
 class CheckedRequest(aiohttp.ClientRequest):
     """A request that checks its permission again once it has a connection."""
 
@@ -101,6 +116,8 @@
                 raise SendWithdrawnError
             self.headers[DEADLINE_HEADER] = str(remaining_ms)
         progress.begun = True
+        if progress.raw_path != self.url.raw_path_qs:
+            self.url = _ExactUrl(self.url, progress.raw_path)
         return await super().send(conn)
 
 
--- a/src/waxwingshelf/serving/requests.py
+++ b/src/waxwingshelf/serving/requests.py
@@ -37,6 +37,7 @@
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.rate_limiter import Admission, RateLimiter
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
+from waxwingshelf.serving.request_targets import RequestTarget, read_target
 from waxwingshelf.serving.response_buffer import ResponseBuffer, ResponseHold
 from waxwingshelf.serving.response_writer import ResponseWriter
 from waxwingshelf.serving.routing_state import RoutingState
@@ -151,13 +152,15 @@
             return Refusal(
                 RefusalReason.NO_CONFIG, Step.ROUTE, retry_after_ms=choose_retry_after_ms()
             )
-        route = find_route(config, request.host, request.raw_path.partition("?")[0])
+        target = read_target(request.raw_path, request.headers.get("Host", ""))
+        route = find_route(config, target.host, target.raw_path.partition("?")[0])
         if route is None:
-            return Refusal(RefusalReason.NO_ROUTE, Step.ROUTE, detail=request.host[:100])
+            return Refusal(RefusalReason.NO_ROUTE, Step.ROUTE, detail=target.host[:100])
         organisation = _authenticate(request, config, route)
         if isinstance(organisation, Refusal):
             return organisation
-        exchange = received.exchange = self._build_exchange(received, route, organisation)
+        exchange = self._build_exchange(received, target, route, organisation)
+        received.exchange = exchange
         exchange.weight = self._weights.get(config, organisation)
         self._dispatch_state.record_request(exchange.service)
         admission = await self._admit(organisation)
@@ -211,11 +214,13 @@
     def _build_exchange(
         self,
         received: _ReceivedRequest,
+        target: RequestTarget,
         route: RouteRule,
         organisation: OrganisationRule | None,
     ) -> Exchange:
         request, request_id, started_ms = received.request, received.id, received.received_ms
         headers = copy_request_headers(request.headers)
+        headers["Host"] = target.host
         if organisation is not None:
             headers[ORGANISATION_HEADER] = organisation.name
         affinity = request.headers.get(AFFINITY_HEADER, "")
@@ -239,7 +244,7 @@
             allowed_regions=resolve_allowed_regions(route, organisation, self.regions),
             outgoing=OutgoingRequest(
                 request.method,
-                request.raw_path,
+                target.raw_path,
                 headers,
                 None,
                 request_id,
--- a/src/waxwingshelf/serving/upstream.py
+++ b/src/waxwingshelf/serving/upstream.py
@@ -139,7 +139,7 @@
                 open_socket=self._open_socket,
             )
         url = f"http://{target.host}:{target.port}{request.raw_path}"
-        progress = _start_progress(request, may_still_send)
+        progress = _start_progress(request, request.raw_path, may_still_send)
         timeout = self._sends[progress] = asyncio.timeout(timeout_ms / _MS_PER_S)
         try:
             result = await self._exchange(
@@ -177,7 +177,7 @@
             self._peer_session = _build_session(protocol_class=BoundedResponseHandler)
         path = build_relay_path(target.id, request.raw_path)
         url = URL(f"http://{peer.host}:{peer.state_port}{path}", encoded=True)
-        progress = _start_progress(request, may_still_send)
+        progress = _start_progress(request, path, may_still_send)
         timeout = asyncio.timeout(timeout_ms / _MS_PER_S)
         result = await self._exchange(
             self._peer_session, url, target, request, progress, timeout, handle_report
@@ -273,8 +273,12 @@
     )
 
 
-def _start_progress(request: OutgoingRequest, may_still_send: Callable[[], bool]) -> SendProgress:
-    return SendProgress(may_still_send, request.deadline_ms, _clock.now_ms(), request.idempotent)
+def _start_progress(
+    request: OutgoingRequest, raw_path: str, may_still_send: Callable[[], bool]
+) -> SendProgress:
+    return SendProgress(
+        raw_path, may_still_send, request.deadline_ms, _clock.now_ms(), request.idempotent
+    )
 
 
 @contextlib.asynccontextmanager
--- a/tests/serving/test_opaque_bytes.py
+++ b/tests/serving/test_opaque_bytes.py
@@ -11,6 +11,7 @@
 from waxwingshelf.core.hashing import hash_to_uint32, hash_to_unit_interval
 from waxwingshelf.core.opaque_text import encode_text, show_text
 from waxwingshelf.header_bytes import serialize_head
+from waxwingshelf.serving.request_targets import read_target
 
 # A name in ISO 8859-2, bytes that begin no character, a blank in ISO 8859-1, and a surrogate.
 VALUES = [b"Bra\xbaov", b"\xe9", b"\xff\xfe", b"a\xa0b", b"\xed\xb3\xa9", "\u0219".encode()]
@@ -67,6 +68,45 @@
     run_scenario(scenario, uvloop.run)
 
 
+PATHS = [b"/x?", b"/x??a=b", b"/x?a=%zz&b", b"//x", b"/./x/../y", b"/%2F%e9", b"/x%20y", b"/x+y"]
+
+
+@pytest.mark.parametrize("path", PATHS, ids=repr)
+def test_path_reaches_the_target_unchanged(run_scenario, path) -> None:
+    """Guards against an empty query that is left out, and any other change of a path."""
+
+    async def scenario(deployment: Deployment) -> None:
+        await start(deployment)
+        raw_path = b"/read" + path
+        assert (await fetch(deployment, path=raw_path))[0] == 200
+        absolute = b"http://a.example" + raw_path
+        assert (await fetch(deployment, path=absolute, Host=b"other.example"))[0] == 200
+        heads = deployment.targets["t0"].request_heads
+        assert [line for line, _ in heads] == [f"GET {raw_path.decode()} HTTP/1.1"] * 2
+        assert [headers["host"] for _, headers in heads] == ["a.example"] * 2
+
+    run_scenario(scenario, uvloop.run)
+
+
+@pytest.mark.parametrize(
+    ("text", "host", "raw_path"),
+    [
+        ("/x?a#b", "h:1", "/x?a#b"),
+        ("http://b.example:80/x?", "b.example:80", "/x?"),
+        ("HTTP://b.example", "b.example", "/"),
+        ("https://u:p@b.example?q", "b.example", "/?q"),
+        ("http://[::1]:80/x", "[::1]:80", "/x"),
+        ("/http://b.example/", "h:1", "/http://b.example/"),
+        ("ftp://b.example/x", "h:1", "ftp://b.example/x"),
+        ("*", "h:1", "*"),
+    ],
+)
+def test_target_of_a_request_is_read(text, host, raw_path) -> None:
+    """Guards against 404 for a URL as the target, which a server must accept."""
+    target = read_target(text, "h:1")
+    assert (target.host, target.raw_path) == (host, raw_path)
+
+
 @pytest.mark.parametrize("value", VALUES, ids=repr)
 @pytest.mark.parametrize(
     ("name", "status"), [("Host", 404), ("Credential", 401), ("Deadline-Ms", 200)]
