--- a/src/waxwingshelf/serving/client_exchange.py
+++ b/src/waxwingshelf/serving/client_exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from contextvars import ContextVar
-from typing import Any
+from typing import Any, cast
 
 import aiohttp
 import msgspec
@@ -117,7 +117,7 @@
             self.headers[DEADLINE_HEADER] = str(remaining_ms)
         progress.begun = True
         if progress.raw_path != self.url.raw_path_qs:
-            self.url = _ExactUrl(self.url, progress.raw_path)
+            self.url = cast(URL, _ExactUrl(self.url, progress.raw_path))
         return await super().send(conn)
 
 
