Try a target again after another one has answered at its address

Cause: a 421 removed the target from the registry, and only a change of its entry brought it back. An address that comes back, or a single wrong answer, changes no entry.

Change: the entry is applied again after 5 s, then after twice as long each further time, up to a minute; by then the entry of a target that has ended is gone. A retrial costs at most one request a further 421, which promises that it was not run. target_misdirected tells of it. It works since the entry in the store, not the one answer, decides whether the target exists.

--- a/src/waxwingshelf/serving/dispatch_state.py
+++ b/src/waxwingshelf/serving/dispatch_state.py
@@ -257,7 +257,7 @@
         if result.links_lost or result.kind is FailureKind.UNREACHABLE:
             return
         if result.kind is FailureKind.WRONG_TARGET:
-            self._routing_state.targets.remove(state.target.id)
+            self._routing_state.record_misdirected(state.target.id)
         elif result.kind is FailureKind.NOT_CONNECTED:
             state.suspend(now_ms)
         elif result.kind is FailureKind.WITHDRAWN:
--- a/src/waxwingshelf/serving/routing_state.py
+++ b/src/waxwingshelf/serving/routing_state.py
@@ -93,6 +93,10 @@
         stored = change.value if change is not None else None
         return self._config_value if stored != self._config_value else None
 
+    def record_misdirected(self, target_id: str) -> None:
+        """Stop using a target for a while, as another one has answered at its address."""
+        self._target_entries.record_misdirected(target_id)
+
     def record_store_recovered(self) -> None:
         """Delay target removals for a while, since leases may have expired during the outage."""
         self._target_entries.record_store_recovered()
--- a/src/waxwingshelf/serving/target_entries.py
+++ b/src/waxwingshelf/serving/target_entries.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 
+import msgspec
 import structlog
 
 from waxwingshelf.core.clock import Clock
@@ -15,11 +16,22 @@
 
 __all__ = ["TargetEntries"]
 
+# An address at which another target has answered is tried again after this time, and after twice as
+# long each further time. The entry of a target that has ended is removed sooner.
+_FIRST_RETRIAL_MS = 5_000
+_MAX_RETRIAL_MS = 60_000
 # Entries whose lease expired during a store outage reappear about two seconds after the outage.
 _REMOVAL_HOLD_MS = 2_200
 _log = structlog.get_logger("target_entries")
 
 
+class _Retrial(msgspec.Struct):
+    """When a target is tried again at whose address another answered; None once it is."""
+
+    delay_ms: int
+    due_ms: int | None
+
+
 class TargetEntries:
     """Keep a target registry in line with the entries; a held target is removed after a delay."""
 
@@ -31,6 +43,18 @@
         self._held_until_ms: dict[str, int] = {}
         self._store_recovered_ms: int | None = None
         self._restored_entries = RestoredEntries()
+        self._retrials: dict[str, _Retrial] = {}
+
+    def record_misdirected(self, target_id: str) -> None:
+        """Stop using a target for a while, as another one has answered at its address."""
+        if not self.registry.remove(target_id):
+            return
+        known = self._retrials.get(target_id)
+        delay_ms = _FIRST_RETRIAL_MS
+        if known is not None:
+            delay_ms = min(_MAX_RETRIAL_MS, 2 * known.delay_ms)
+        self._retrials[target_id] = _Retrial(delay_ms, self._clock.now_ms() + delay_ms)
+        _log.warning("target_misdirected", target=target_id, retry_ms=delay_ms)
 
     def record_store_recovered(self) -> None:
         """Delay removals for a while, since leases may have expired during the outage."""
@@ -58,7 +82,10 @@
                     self._put_restored(target_id, change.value, change.revision)
 
     def expire(self) -> list[str]:
-        """Remove held targets that did not reappear; return restored ones that are confirmed."""
+        """Remove held targets that did not reappear; return those whose entries hold again.
+
+        These are restored ones that are confirmed, and those that are due for a retrial.
+        """
         now_ms = self._clock.now_ms()
         due = [
             target_id for target_id, until_ms in self._held_until_ms.items() if now_ms >= until_ms
@@ -66,7 +93,17 @@
         for target_id in due:
             del self._held_until_ms[target_id]
             self._remove(target_id, "lapsed")
-        return self._restored_entries.list_confirmed(now_ms)
+        return [*self._restored_entries.list_confirmed(now_ms), *self._take_retrials(now_ms)]
+
+    def _take_retrials(self, now_ms: int) -> list[str]:
+        due = [
+            target_id
+            for target_id, retrial in self._retrials.items()
+            if retrial.due_ms is not None and now_ms >= retrial.due_ms
+        ]
+        for target_id in due:
+            self._retrials[target_id].due_ms = None
+        return due
 
     def _compute_hold_ms(self, removed_count: int) -> int:
         """Return how long to hold removed targets: after a store outage or in a mass removal."""
@@ -88,6 +125,7 @@
         _log.info("target_held", target=target_id, hold_ms=hold_ms)
 
     def _remove(self, target_id: str, reason: str) -> None:
+        self._retrials.pop(target_id, None)
         if self.registry.remove(target_id):
             _log.info("target_gone", target=target_id, why=reason)
 
