Ignore SIGHUP until the settings are loaded

Change: the first lines of the start ignore the signal, until the loop's handler takes it. The settings are loaded later, so that the change is seen. What remains are the milliseconds in which the interpreter itself starts.

Failed before: test_reload_signal_before_the_settings_are_loaded_is_ignored, as the disposition stayed the default one.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -2,11 +2,15 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
 from module_archive import install_archive
 
+# Until the settings are loaded, their change needs no reload, and must not end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # The HTTP library loads the system's certificate authorities when it is imported, which takes a
 # fifth of the start. Instances do not speak TLS.
 os.environ["SSL_CERT_FILE"] = os.devnull
--- a/src/waxwingshelf/serving/__main__.py
+++ b/src/waxwingshelf/serving/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -24,6 +25,8 @@
 
 def main() -> int:
     """Serve until SIGTERM or SIGINT; return 2 if the settings are missing or invalid."""
+    # Until the settings are loaded, their change needs no reload, and must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     own_path = _parse_arguments().settings
     path_text = os.environ.get(SETTINGS_VARIABLE)
     if not path_text:
--- a/tests/serving/test_own_settings.py
+++ b/tests/serving/test_own_settings.py
@@ -1,11 +1,13 @@
 """Tests of this project's own settings file: defaults, comments, and errors with their place."""
 
+import signal
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
 
+from waxwingshelf.platform.names import SETTINGS_VARIABLE
 from waxwingshelf.serving import __main__ as program
 from waxwingshelf.serving.own_settings import (
     InvalidOwnSettingsError,
@@ -134,3 +136,16 @@
     file = write(tmp_path, "{hedging: {max_extra_ratio: 2}}")
     assert run_main(monkeypatch, tmp_path, "--settings", str(file)) == []
     assert f"{file}: Expected `float` <= 0.2" in capsys.readouterr().err
+
+
+def test_reload_signal_before_the_settings_are_loaded_is_ignored(monkeypatch) -> None:
+    """Guards against SIGHUP in the first moments of a process, which ended it."""
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    monkeypatch.setattr("sys.argv", ["instance"])
+    earlier = signal.getsignal(signal.SIGHUP)
+    try:
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        assert program.main() == 2
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, earlier)
