Put extreme values into every field of every entry, and into the soak

A test for each kind of entry puts every document into the store that has one extreme value in one field, all at the same time, and two instances go on serving without an unexpected error; heartbeats likewise.

In the soak, another writer puts and removes such entries and callers send heads of any bytes, while instances are killed, stopped, paused and started; a 500 or a process that ends by itself is a violation.

--- a/tests/serving/outside_values.py
+++ b/tests/serving/outside_values.py
@@ -3,6 +3,7 @@
 A field that is added to a type later is drawn as well.
 """
 
+import functools
 import types
 import typing
 from typing import Any
@@ -10,6 +11,7 @@
 import msgspec
 from hypothesis import strategies as st
 
+_Path = tuple[str | int, ...]
 _EXTREMES = [
     0,
     -1,
@@ -59,17 +61,44 @@
 
 
 def draw_changed(example: Any, wanted: type[msgspec.Struct]) -> st.SearchStrategy[Any]:
-    """Return a strategy for documents that differ from a valid one in any of their fields."""
-    return draw_struct(wanted).map(lambda drawn: merge(example, drawn))
-
-
-def merge(example: Any, drawn: Any) -> Any:
-    """Return an example with what was drawn in place of its own values."""
-    if isinstance(example, dict) and isinstance(drawn, dict):
-        merged = {
-            name: merge(value, drawn[name]) for name, value in example.items() if name in drawn
-        }
-        return {**example, **drawn, **merged}
-    if isinstance(example, list) and isinstance(drawn, list) and example:
-        return [merge(example[0], item) for item in drawn]
-    return drawn
+    """Return a strategy for documents that differ from a valid one in one or two fields."""
+    change = st.sampled_from(list_paths(wanted)).flatmap(
+        lambda place: st.tuples(st.just(place[0]), draw(place[1]))
+    )
+    return st.lists(change, min_size=1, max_size=2).map(
+        lambda changes: functools.reduce(
+            lambda document, change: set_at(document, *change), changes, example
+        )
+    )
+
+
+def list_changed(example: Any, wanted: type[msgspec.Struct]) -> list[Any]:
+    """Return all documents that differ from a valid one in one field that has an extreme value."""
+    values = [*_EXTREMES, 1e300, 5e-324, None, True, "", "x", "\ud800", "²", [], {}, [[]]]
+    return [set_at(example, path, value) for path, _ in list_paths(wanted) for value in values]
+
+
+def list_paths(wanted: Any, path: _Path = ()) -> list[tuple[_Path, Any]]:
+    """Return the places of all fields of a type and of the types in it, and their types."""
+    arguments = typing.get_args(wanted)
+    if isinstance(wanted, type) and issubclass(wanted, msgspec.Struct):
+        fields = msgspec.structs.fields(wanted)
+        places = [((*path, info.name), info.type) for info in fields]
+        return places + [place for name, type_ in places for place in list_paths(type_, name)]
+    if typing.get_origin(wanted) is list:
+        return list_paths(arguments[0], (*path, 0))
+    if typing.get_origin(wanted) in (types.UnionType, typing.Union):
+        return [place for part in arguments for place in list_paths(part, path)]
+    return []
+
+
+def set_at(document: Any, path: _Path, value: Any) -> Any:
+    """Return a copy of a document with another value at a place, if the place exists."""
+    if not path:
+        return value
+    name, rest = path[0], path[1:]
+    if isinstance(name, str) and isinstance(document, dict):
+        return {**document, name: set_at(document.get(name), rest, value)}
+    if isinstance(document, list) and document:
+        return [set_at(document[0], rest, value), *document[1:]]
+    return document
--- a/tests/serving/test_outside_values.py
+++ b/tests/serving/test_outside_values.py
@@ -14,7 +14,7 @@
 from tests.platform.test_unknown_values import CONFIG as WHOLE_CONFIG
 from tests.platform.test_unknown_values import MEMBER, QUARANTINE_ENTRY, SERVER
 from tests.serving.conftest import CONFIG, HOST, Deployment
-from tests.serving.outside_values import draw_changed, draw_struct
+from tests.serving.outside_values import draw_changed, draw_struct, list_changed
 from tests.serving.test_opaque_bytes import fetch
 from waxwingshelf.core.clock import ManualClock
 from waxwingshelf.platform import documents
@@ -29,7 +29,7 @@
     make_quarantine_key,
     make_target_key,
 )
-from waxwingshelf.platform.names import CONFIG_KEY, EVACUATION_PREFIX
+from waxwingshelf.platform.names import CONFIG_KEY
 from waxwingshelf.serving import crash_messages, object_announcements, peer_messages
 from waxwingshelf.serving.failures import Failures
 from waxwingshelf.serving.routing_state import RoutingState
@@ -45,24 +45,22 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
-DOCUMENTS = {
-    "config": (draw_changed(WHOLE_CONFIG, documents._Config), decode_config, CONFIG_KEY),
-    "target": (
-        draw_changed(SERVER, documents._Server),
-        lambda value: decode_target("t", value),
-        make_target_key("drawn"),
-    ),
-    "member": (draw_changed(MEMBER, PeerAddress), decode_member, make_member_key("drawn")),
-    "listed member": (
-        draw_changed(MEMBER, PeerAddress),
-        decode_member,
-        make_listed_member_key("drawn"),
-    ),
-    "quarantine": (
-        draw_changed(QUARANTINE_ENTRY, Quarantine),
-        decode_quarantine,
-        make_quarantine_key("f" * 16),
-    ),
+WORK_CONFIG = {**WHOLE_CONFIG, "clusters": CONFIG["clusters"], "listeners": CONFIG["listeners"]}
+WORK_TARGET = {**SERVER, "information": {**SERVER["information"], "service": "work"}}
+# A valid document of each kind, its type, and the beginning of its key.
+EXAMPLES: dict[str, tuple[Any, type[msgspec.Struct], str]] = {
+    "config": (WORK_CONFIG, documents._Config, CONFIG_KEY),
+    "target": (WORK_TARGET, documents._Server, make_target_key("drawn")),
+    "member": (MEMBER, PeerAddress, make_member_key("drawn")),
+    "listed member": (MEMBER, PeerAddress, make_listed_member_key("drawn")),
+    "quarantine": (QUARANTINE_ENTRY, Quarantine, make_quarantine_key("f" * 16)),
+}
+DECODERS = {
+    "config": decode_config,
+    "target": lambda value: decode_target("t", value),
+    "member": decode_member,
+    "listed member": decode_member,
+    "quarantine": decode_quarantine,
 }
 HEARTBEAT = msgspec.to_builtins(
     Heartbeat(msgspec.convert(MEMBER, PeerAddress), 1, 1, True, 1, {"acme": 1.0})
@@ -89,15 +87,15 @@
     return json.dumps(document).encode()
 
 
-@pytest.mark.parametrize("kind", DOCUMENTS)
+@pytest.mark.parametrize("kind", EXAMPLES)
 @settings(FIXED, max_examples=150)
 @given(data=st.data())
 def test_document_is_used_or_rejected(kind, data) -> None:
     """Guards against a value that raises where it is read, or where it is used first."""
-    strategy, decode, key = DOCUMENTS[kind]
-    value = encode(data.draw(strategy))
+    example, wanted, key = EXAMPLES[kind]
+    value = encode(data.draw(draw_changed(example, wanted)))
     try:
-        decode(value)
+        DECODERS[kind](value)
     except DecodeError as error:
         assert len(str(error)) <= 200
     failures = Failures(ManualClock())
@@ -120,7 +118,7 @@
 async def check_serving(deployment: Deployment) -> None:
     """Check that an instance has had no unexpected error and serves under a new configuration."""
     for key in list(deployment.store.items):
-        if key.startswith(("servers/drawn", EVACUATION_PREFIX)):
+        if "drawn" in key:
             deployment.store.delete(key)
     deployment.store.put(CONFIG_KEY, {**CONFIG, "version": LAST_VERSION})
 
@@ -145,26 +143,42 @@
         await deployment.wait_until_ready(name)
 
 
-@settings(FIXED, max_examples=5)
-@given(data=st.data())
-def test_instance_serves_whatever_another_writer_puts(run_scenario, data) -> None:
-    """Guards against an entry that ends the task that uses it, some time after it was read."""
-    drawn = [
-        (key, encode(data.draw(strategy)))
-        for _ in range(10)
-        for strategy, _, key in DOCUMENTS.values()
-    ]
+@pytest.mark.parametrize("kind", EXAMPLES)
+def test_instance_serves_whatever_another_writer_puts(run_scenario, kind) -> None:
+    """Guards against a field whose value ends the task that uses it, after it was read.
+
+    All documents that have one extreme value in one field are there at the same time.
+    """
+    example, wanted, key = EXAMPLES[kind]
+    drawn = list_changed(example, wanted)
+
+    async def scenario(deployment: Deployment) -> None:
+        await start(deployment)
+        for number, document in enumerate(drawn):
+            name = key if kind == "config" else f"{key}-{number}"
+            deployment.store.put(name, document)
+            if kind == "config":
+                await asyncio.sleep(0.002)
+        for _ in range(20):
+            await deployment.send_request("/read/x")
+            await asyncio.sleep(0.05)
+        await check_serving(deployment)
+
+    run_scenario(scenario, uvloop.run)
+
+
+def test_instance_serves_whatever_a_heartbeat_tells(run_scenario) -> None:
+    """Guards against a field of a peer that ends the tasks that send to it or share with it."""
+    drawn = list_changed(HEARTBEAT, Heartbeat)
 
     async def scenario(deployment: Deployment) -> None:
         await start(deployment)
-        for number, (key, value) in enumerate(drawn):
-            is_target = key.startswith("servers/")
-            deployment.store.put(f"{key}-{number}" if is_target else key, None)
-            item = deployment.store.items[f"{key}-{number}" if is_target else key]
-            item.value = msgspec.to_builtins(value)
-            if number % len(DOCUMENTS) == 0:
-                await asyncio.sleep(0.06)
-                await deployment.send_request("/read/x")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for document in drawn:
+                datagram = pack(peer_messages.HEARTBEAT_TYPE, document)
+                for network in deployment.settings.values():
+                    sender.sendto(datagram or b"b", (HOST, network.peer_ports[0]))
+                await asyncio.sleep(0.002)
         await asyncio.sleep(0.3)
         await check_serving(deployment)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,7 @@
     SoakDeployment,
 )
 from tests.soak.malformed import MALFORMED_RESPONSES, check_malformed_responses
+from tests.soak.outside_values import OutsideWriter
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.refusals import find_broken_guarantees
 from tests.soak.silences import check_departed_uploads, check_key_withdrawn_in_silence
@@ -105,11 +106,18 @@
 
     async def _run_fault_phase(self, session: aiohttp.ClientSession) -> None:
         clients = [asyncio.create_task(self._run_client(session)) for _ in range(CLIENTS)]
+        outside_writer = OutsideWriter(self.seed, self.deployment)
+        clients.append(asyncio.create_task(outside_writer.run()))
         fault_tasks = [asyncio.create_task(self._inject_faults()) for _ in range(2)]
         await asyncio.gather(*fault_tasks)
         for client in clients:
             client.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
+        results = await asyncio.gather(*clients, return_exceptions=True)
+        for error in results:
+            if isinstance(error, Exception):
+                raise error
+        for detail in outside_writer.unexpected:
+            self.add_violation("no head of a request gets 500", detail)
 
     async def _run_client(self, session: aiohttp.ClientSession) -> None:
         while True:
