Let no text and no integer of a configuration end what uses it

What callers would see (by tests): an organisation whose name has a lone surrogate, which JSON can write, raises in the encoder of heartbeats; an integer of more than 4,300 digits in any field costs the whole version, as the interpreter refuses to read it.

Cause: where the strict decoder refuses a document, its plain objects are read by the standard library, which takes both.

Change: load_document marks such a text and such an integer as values that no type accepts, so that they cost their own field, or the entry that needs it. Related: what is recorded when a request gets a slot is contained, as an error there would have kept the slot for ever.

--- a/src/waxwingshelf/platform/documents.py
+++ b/src/waxwingshelf/platform/documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -18,7 +17,7 @@
     QUARANTINE_PREFIX,
     TARGET_PREFIX,
 )
-from waxwingshelf.platform.tolerant_decoding import FieldName, TolerantConverter
+from waxwingshelf.platform.tolerant_decoding import FieldName, TolerantConverter, load_document
 from waxwingshelf.steering.config import (
     CallerLimits,
     Destination,
@@ -214,7 +213,7 @@
         return _CONFIG_DECODER.decode(value), []
     except msgspec.DecodeError:
         converter = TolerantConverter(_STRICT_VALUES, _REQUIRED, (_SplitPart,), (".api_keys",))
-        document: _Config = converter.convert(json.loads(value), _Config)
+        document: _Config = converter.convert(load_document(value), _Config)
         return document, [
             UnknownValue(fault.location, fault.value, fault.handling)
             for fault in converter.malformed
--- a/src/waxwingshelf/platform/tolerant_decoding.py
+++ b/src/waxwingshelf/platform/tolerant_decoding.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import json
+import math
 import types
 import typing
 from collections.abc import Collection, Mapping
@@ -13,14 +15,34 @@
 
 import msgspec
 
-__all__ = ["FieldName", "MalformedValue", "MissingValueError", "TolerantConverter"]
+from waxwingshelf.core.opaque_text import encode_text, show_text
+
+__all__ = [
+    "FieldName",
+    "MalformedValue",
+    "MissingValueError",
+    "TolerantConverter",
+    "load_document",
+]
 
 _MAX_LOGGED_CHARACTERS = 100
 _DROPPED = "dropped"
+# No field of a document takes an integer of more digits.
+_MAX_INTEGER_DIGITS = 400
 # A struct type and the name of one of its fields.
 FieldName = tuple[type[msgspec.Struct], str]
 
 
+class _UnreadableText:
+    """Stands for a text that no encoder takes, so that no type accepts it."""
+
+    def __init__(self, text: str) -> None:
+        self._text = show_text(text)
+
+    def __repr__(self) -> str:
+        return repr(self._text)
+
+
 class MissingValueError(ValueError):
     """A required field is missing or malformed; the message names its location."""
 
@@ -33,6 +55,32 @@
     handling: str
 
 
+def load_document(value: bytes) -> Any:
+    """Return the plain objects of a JSON document; raise `ValueError` if it is none.
+
+    An integer that is too long, or a text with a lone surrogate, is a value that no type accepts.
+    """
+    return _mark_unreadable(json.loads(value, parse_int=_parse_integer))
+
+
+def _parse_integer(text: str) -> int | float:
+    return int(text) if len(text) <= _MAX_INTEGER_DIGITS else math.inf
+
+
+def _mark_unreadable(value: Any) -> Any:
+    if isinstance(value, str):
+        return value if _is_readable(value) else _UnreadableText(value)
+    if isinstance(value, list):
+        return [_mark_unreadable(item) for item in value]
+    if isinstance(value, dict):
+        return {name: _mark_unreadable(item) for name, item in value.items() if _is_readable(name)}
+    return value
+
+
+def _is_readable(text: str) -> bool:
+    return text.isascii() or encode_text(text).decode(errors="replace") == text
+
+
 class TolerantConverter(msgspec.Struct):
     """Convert plain objects to structs, and collect the malformed values.
 
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -369,12 +369,17 @@
             placements, exchange.organisation, download_bytes, now_ms
         )
         if attempt is not None and exchange.has_object:
-            targets = self._routing_state.targets
-            targets.record_send(attempt.state, exchange.object_key, now_ms)
-            if attempt.placement.may_be_first_run:
-                self.on_possible_first_run(attempt.state, exchange.object_key)
+            # The attempt holds a slot, so that it must reach the request in any case.
+            with self._failures.contain("placement", request=exchange.id):
+                self._record_object(exchange, attempt, now_ms)
         return attempt
 
+    def _record_object(self, exchange: Exchange, attempt: Attempt, now_ms: int) -> None:
+        targets = self._routing_state.targets
+        targets.record_send(attempt.state, exchange.object_key, now_ms)
+        if attempt.placement.may_be_first_run:
+            self.on_possible_first_run(attempt.state, exchange.object_key)
+
     async def _send(self, exchange: Exchange, attempt: Attempt) -> UpstreamResponse | SendFailure:
         hedged_sender = self._hedged_sender
         if hedged_sender is None or not hedged_sender.may_hedge(exchange):
--- a/tests/platform/test_unknown_values.py
+++ b/tests/platform/test_unknown_values.py
@@ -134,6 +134,26 @@
 ]
 
 
+@pytest.mark.parametrize("name", ["\ud800", "a\udce9"])
+def test_name_that_no_encoder_takes_is_not_used(name) -> None:
+    """Guards against an organisation whose name ends each round of heartbeats, which carry it."""
+    with pytest.raises(DecodeError, match="name"):
+        load_config(change_document(CONFIG, (*TENANT, "name"), name))
+    config = load_config(change_document(CONFIG, (*TENANT, "api_keys"), [name, "whole"]))
+    assert config.organisations["o1"].keys == ("whole",)
+    config = load_config(change_document(CONFIG, (*ACTION, "home_regions"), [name]))
+    assert config.routes[0].allowed_regions == frozenset({""})
+    assert load_config({**CONFIG, name: 1}) == KNOWN_CONFIG
+
+
+def test_integer_of_any_length_costs_only_its_field() -> None:
+    """Guards against a number that the interpreter refuses to read, and the version with it."""
+    text = json.dumps(change_document(CONFIG, (*RULE, "priority"), 7_777_777))
+    config = decode_config(text.replace("7777777", "7" * 5_000).encode())
+    assert config.routes[0].priority == 1_000_000
+    assert config.routes[1:] == KNOWN_CONFIG.routes[1:]
+
+
 def describe_route(route) -> dict[str, Any]:
     values = {info.name: getattr(route, info.name) for info in fields(route)}
     return {**values, "weights": [(part.service, part.weight) for part in route.destinations]}
