Do not retry a misdirected target whose entry an older copy of the store shows

Callers' requests could go to a target that had left: one that had answered 421 before was used again after 5 s with the ready entry of an older copy of the store, though it was known to be draining. Cause: a retrial applies the entry of the mirror without asking whether it is outdated. Evidence: the new test_outdated_entry_is_not_tried_again_before_it_is_confirmed failed before, the target was ready at 6 s. Change: a retrial waits while the entry is unconfirmed (`RestoredEntries.is_unconfirmed`). Why it works: an entry whose target has left lapses in that time, and one that is confirmed is applied by `list_confirmed`, as before. Passed: that test and those of restores and misdirected targets (19).

--- a/src/waxwingshelf/serving/target_entries.py
+++ b/src/waxwingshelf/serving/target_entries.py
@@ -99,7 +99,9 @@
         due = [
             target_id
             for target_id, retrial in self._retrials.items()
-            if retrial.due_ms is not None and now_ms >= retrial.due_ms
+            if retrial.due_ms is not None
+            and now_ms >= retrial.due_ms
+            and not self._restored_entries.is_unconfirmed(target_id)
         ]
         for target_id in due:
             self._retrials[target_id].due_ms = None
--- a/src/waxwingshelf/steering/restored_entries.py
+++ b/src/waxwingshelf/steering/restored_entries.py
@@ -58,6 +58,10 @@
             self._unconfirmed_until_ms[target.id] = now_ms + _ENTRY_LAPSE_MS
         return True
 
+    def is_unconfirmed(self, target_id: str) -> bool:
+        """Return whether the target may have left although the store shows its entry."""
+        return target_id in self._unconfirmed_until_ms
+
     def list_confirmed(self, now_ms: int) -> list[str]:
         """Return the targets whose outdated entries did not lapse in time, each of them once."""
         due = [
--- a/tests/serving/test_misdirected_targets.py
+++ b/tests/serving/test_misdirected_targets.py
@@ -64,6 +64,25 @@
     assert not is_used(state, clock, 100_000)
 
 
+def test_outdated_entry_is_not_tried_again_before_it_is_confirmed(state, clock) -> None:
+    """Guards against requests to a target that left, as an older copy of the store says it stays.
+
+    Its address may belong to another service by then.
+    """
+    state.record_misdirected("t0")
+    put(state, 2, status={"state": "draining", "sequence": 2})
+    clock.advance(1_000)
+    older = Change(KEY, 1, json.dumps(ENTRY).encode())
+    state.replace([older], Position(1, 1), "store")
+    clock.advance(5_000)
+    state.expire_held()
+    target = state.targets.get("t0")
+    assert target is None or target.target.draining
+    # The target did not let the entry lapse: it has written it, and is back.
+    assert is_used(state, clock, 1_000)
+    assert not state.targets.get("t0").target.draining
+
+
 def test_instance_recovers_from_wrong_answers_of_all_targets(run_scenario, monkeypatch) -> None:
     """Guards against an instance without targets for the rest of its life after two 421."""
     monkeypatch.setattr(target_entries, "_FIRST_RETRIAL_MS", 300)
