Measure what a request costs, for several builds in turn

Change: make instance-cost sends requests one after the other through an instance to a stand-in of a target, and prints the processor time of one. What starts an instance is shared with the idle measurement.

--- a/tools/instance_cost.py
+++ b/tools/instance_cost.py
@@ -1,4 +1,4 @@
-"""Measure the processor time of a start and of an idle instance, for one build or several.
+"""Measure the processor time of a start, an idle instance and a request, for one build or several.
 
 Each build is a checkout whose `deploy/build.sh` has run. The instances run as its deploy file says,
 on loopback, with a stand-in of the store and simulated peers. The builds take turns, so that load
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import statistics
 import subprocess
@@ -17,17 +18,20 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import AsyncIterator
 from pathlib import Path
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
 from standins.platform_store import PlatformStoreStandIn
+from standins.platform_target import PlatformTargetStandIn
 from tools.processes import find_ports
 from waxwingshelf.serving import peer_messages
 from waxwingshelf.steering.fleet import Heartbeat, LoadReport, PeerAddress
 
-__all__ = ["measure_idle", "measure_start"]
+__all__ = ["measure_idle", "measure_requests", "measure_start"]
 
 _NETWORK = "127.101"
 _INSTANCE_HOST = f"{_NETWORK}.0.1"
@@ -38,6 +42,8 @@
 _DOMAINS_PER_REGION = 3
 _SETTLE_S = 6.0
 _MEASURE_S = 10.0
+_WARM_UP_REQUESTS = 500
+_REQUESTS = 3_000
 
 
 class SimulatedPeer(asyncio.DatagramProtocol):
@@ -113,18 +119,68 @@
 async def measure_idle(build: Path, peers: int) -> float:
     """Return the fraction of a core that an idle instance takes beside `peers` others."""
     store = PlatformStoreStandIn()
-    _fill_store(store)
-    runner = web.AppRunner(store.build_app(), shutdown_timeout=0.1)
-    await runner.setup()
-    store_port, *ports = find_ports(1 + 6)
-    await web.TCPSite(runner, "127.0.0.1", store_port).start()
-    store_task = asyncio.create_task(store.run())
+    _put_config(store)
+    for number in range(_TARGETS):
+        _put_target(store, number, "127.0.0.1:9")
+    ports = find_ports(6)
     loop = asyncio.get_running_loop()
     simulated = [
         SimulatedPeer(number, ports[4], (_INSTANCE_HOST, ports[4])) for number in range(peers)
     ]
     for peer in simulated:
         await loop.create_datagram_endpoint(lambda p=peer: p, local_addr=peer.local_address)  # type: ignore[misc]
+    async with _run_instance(build, store, ports) as process_id:
+        await asyncio.sleep(_SETTLE_S / 2)
+        for peer in simulated:
+            peer.announce()
+        await asyncio.sleep(_SETTLE_S / 2)
+        began_s, began_at = _read_process_s(process_id), time.monotonic()
+        await asyncio.sleep(_MEASURE_S)
+        return (_read_process_s(process_id) - began_s) / (time.monotonic() - began_at)
+
+
+async def measure_requests(build: Path) -> float:
+    """Return the processor time, in seconds, that a request takes, sent one after the other."""
+    store = PlatformStoreStandIn()
+    _put_config(store)
+    target = PlatformTargetStandIn("t0", work_s=0.0)
+    await target.start("127.0.0.1")
+    _put_target(store, 0, f"127.0.0.1:{target.port}")
+    ports = find_ports(6)
+    async with _run_instance(build, store, ports) as process_id:
+        await asyncio.sleep(_SETTLE_S)
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{_INSTANCE_HOST}:{ports[0]}/r0/x"
+            await _send_requests(session, url, _WARM_UP_REQUESTS)
+            began_s = _read_process_s(process_id)
+            await _send_requests(session, url, _REQUESTS)
+            return (_read_process_s(process_id) - began_s) / _REQUESTS
+
+
+async def _send_requests(session: aiohttp.ClientSession, url: str, count: int) -> None:
+    for number in range(count):
+        headers = {
+            "Host": "a.example",
+            "Credential": "k0",
+            "Attempt-Id": f"id-{number}",
+            "Affinity-Key": str(number % 50),
+        }
+        async with session.get(url, headers=headers) as response:
+            if response.status != 200:
+                raise RuntimeError(f"the instance answered {response.status}")
+            await response.read()
+
+
+@contextlib.asynccontextmanager
+async def _run_instance(
+    build: Path, store: PlatformStoreStandIn, ports: list[int]
+) -> AsyncIterator[int]:
+    """Run an instance of a build beside a store; yield its process id."""
+    runner = web.AppRunner(store.build_app(), shutdown_timeout=0.1)
+    await runner.setup()
+    (store_port,) = find_ports(1)
+    await web.TCPSite(runner, "127.0.0.1", store_port).start()
+    store_task = asyncio.create_task(store.run())
     with tempfile.TemporaryDirectory() as folder:
         settings = Path(folder) / "instance.toml"
         settings.write_text(_describe_settings(ports, store_port))
@@ -137,13 +193,7 @@
             _read_command(build), cwd=build, env=environment, stdout=subprocess.DEVNULL
         )
         try:
-            await asyncio.sleep(_SETTLE_S / 2)
-            for peer in simulated:
-                peer.announce()
-            await asyncio.sleep(_SETTLE_S / 2)
-            began_s, began_at = _read_process_s(process.pid), time.monotonic()
-            await asyncio.sleep(_MEASURE_S)
-            return (_read_process_s(process.pid) - began_s) / (time.monotonic() - began_at)
+            yield process.pid
         finally:
             process.kill()
             process.wait()
@@ -155,8 +205,8 @@
     return [f"{region}-{number}" for region in _REGIONS for number in range(_DOMAINS_PER_REGION)]
 
 
-def _fill_store(store: PlatformStoreStandIn) -> None:
-    """Write a configuration and the entries of the targets."""
+def _put_config(store: PlatformStoreStandIn) -> None:
+    """Write a configuration; the first organisation has a rate that no measurement reaches."""
     rules = [
         {
             "name": f"r{number}",
@@ -172,22 +222,25 @@
         {"name": f"o{number}", "api_keys": [f"k{number}"], "rate_per_s": 20, "burst": 20}
         for number in range(_ORGANISATIONS)
     ]
+    tenants[0] |= {"rate_per_s": 100_000, "burst": 100_000}
     config = {"version": "r1", "tenants": tenants}
     config["listeners"] = [{"host": "a.example", "rules": rules}]
     config["clusters"] = [{"name": f"s{number}"} for number in range(_SERVICES)]
     store.put("op/config", config)
+
+
+def _put_target(store: PlatformStoreStandIn, number: int, address: str) -> None:
     domains = _list_domains()
-    for number in range(_TARGETS):
-        information = {"service": f"s{number % _SERVICES}", "zone": domains[number % len(domains)]}
-        store.put(
-            f"servers/t{number}",
-            {
-                "address": "127.0.0.1:9",
-                "information": {**information, "slots": 9},
-                "status": {"state": "ready", "sequence": 1, "cold_remaining_ms": 0},
-                "born": 1,
-            },
-        )
+    information = {"service": f"s{number % _SERVICES}", "zone": domains[number % len(domains)]}
+    store.put(
+        f"servers/t{number}",
+        {
+            "address": address,
+            "information": {**information, "slots": 9},
+            "status": {"state": "ready", "sequence": 1, "cold_remaining_ms": 0},
+            "born": 1,
+        },
+    )
 
 
 def _describe_settings(ports: list[int], store_port: int) -> str:
@@ -233,11 +286,12 @@
 
 
 def main() -> None:
-    """Print the median start and the idle load of each build."""
+    """Print the median start, the idle load and the median cost of a request of each build."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("builds", nargs="*", type=Path, default=[Path()], metavar="BUILD")
     parser.add_argument("--starts", type=int, default=9, help="starts of each build")
     parser.add_argument("--peers", type=int, nargs="*", default=[14, 76, 195])
+    parser.add_argument("--request-rounds", type=int, default=5, help="rounds of 3,000 requests")
     arguments = parser.parse_args()
     builds = [build.resolve() for build in arguments.builds]
     starts: dict[Path, list[float]] = {build: [] for build in builds}
@@ -250,6 +304,13 @@
         for build in builds:
             load = asyncio.run(measure_idle(build, peers))
             print(f"{build.name}: idle beside {peers} peers {load * 100:.2f} % of a core")
+    costs: dict[Path, list[float]] = {build: [] for build in builds}
+    for _ in range(arguments.request_rounds):
+        for build in builds:
+            costs[build].append(asyncio.run(measure_requests(build)))
+    for build in builds:
+        if costs[build]:
+            print(f"{build.name}: request {statistics.median(costs[build]) * 1e6:.0f} us")
 
 
 if __name__ == "__main__":
