Freeze the heap of the test process between test modules

Cause: callers, instances and targets share one heap there, which grows over a run, and a full collection stops all of them. The deploy file freezes what it has loaded; the tests did not. Change: before each module of tests the heap is collected and frozen. No test, bound or check is changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures that run a fleet on loopback sockets in one event loop."""
 
 import asyncio
+import gc
 import secrets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -23,6 +24,17 @@
 READY_TIMEOUT_S = 20.0
 
 
+@pytest.fixture(scope="module", autouse=True)
+def _freeze_heap() -> None:
+    """Collect and freeze what earlier tests left behind, as deploy/instance.py does with modules.
+
+    In the test process callers, instances and targets share one heap, which grows over a run. A
+    full collection of it stops all of them for longer than the bounds of some tests.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 @dataclass
 class LoopbackFleet:
     """Instances, targets and a store that tests call over real sockets."""
