Let copies of a suspect wait until it is decided whether it crashes targets

Cause: the verdict takes 0.4 s, and meanwhile instances went on sending, retried before the probe of the first target had ended, and answered before anybody knew of the crash. Change: an answer or a retry after a broken connection waits for this instance's own probe, 0.2 s at most; collectors tell all instances of a request that was at two crashes, whose copies wait while a crash is less than 0.5 s old. Why it works: the third crash makes the verdict, and each send after it waits for that. Requests at no crash or one wait for nothing but the probe.

--- a/src/waxwingshelf/serving/crash_detector.py
+++ b/src/waxwingshelf/serving/crash_detector.py
@@ -25,6 +25,7 @@
 __all__ = ["CrashDetector"]
 
 _PROBE_TIMEOUT_S = 0.5
+_MAX_WAIT_S = 0.2
 _MAX_LOGGED_FINGERPRINTS = 8
 _log = structlog.get_logger("crash_detector")
 
@@ -49,7 +50,7 @@
         self._metrics = metrics
         # The fingerprints of the requests lost with each run of a target that is being probed.
         self._lost: dict[str, set[str]] = {}
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probes: dict[str, asyncio.Task[None]] = {}
         self.on_crash: Callable[[TargetCrash], None] = _ignore_crash
 
     def record_result(
@@ -62,17 +63,24 @@
             self._lost[target.run].add(request.fingerprint)
             return
         self._lost[target.run] = {request.fingerprint}
-        probe = asyncio.create_task(self._probe(target))
-        self._probes.add(probe)
-        probe.add_done_callback(self._probes.discard)
+        self._probes[target.run] = asyncio.create_task(self._probe(target))
 
     def is_probing(self, target: Target) -> bool:
         """Return whether the target is being probed because a connection to it broke."""
         return target.run in self._lost
 
+    async def wait_for_probe(self, target: Target) -> None:
+        """Wait until the probe of a target has ended, if there is one that ends soon.
+
+        A target that has crashed refuses at once; one that does not answer costs more time.
+        """
+        probe = self._probes.get(target.run)
+        if probe is not None:
+            await asyncio.wait((probe,), timeout=_MAX_WAIT_S)
+
     def close(self) -> None:
         """Cancel the probes in progress."""
-        for probe in self._probes:
+        for probe in self._probes.values():
             probe.cancel()
 
     async def _probe(self, target: Target) -> None:
@@ -80,6 +88,7 @@
             has_crashed = await self._has_crashed(target)
         finally:
             fingerprints = frozenset(self._lost.pop(target.run))
+            del self._probes[target.run]
         self._metrics.target_probes.labels("crashed" if has_crashed else "alive").inc()
         if not has_crashed:
             return
--- a/src/waxwingshelf/serving/crash_messages.py
+++ b/src/waxwingshelf/serving/crash_messages.py
@@ -10,21 +10,26 @@
     "ANSWER_TYPE",
     "CRASH_TYPE",
     "QUARANTINE_TYPE",
+    "SUSPECT_TYPE",
     "AnswerMessage",
     "CrashMessage",
     "QuarantineMessage",
+    "SuspectMessage",
     "decode_answer",
     "decode_crash",
     "decode_quarantine_message",
+    "decode_suspect",
     "encode_answer",
     "encode_crash",
     "encode_quarantine_message",
+    "encode_suspect",
 ]
 
 # The first byte of a datagram, beside those of `peer_messages`.
 CRASH_TYPE = b"x"
 ANSWER_TYPE = b"a"
 QUARANTINE_TYPE = b"q"
+SUSPECT_TYPE = b"s"
 
 
 class CrashMessage(msgspec.Struct, array_like=True):
@@ -40,6 +45,12 @@
     fingerprint: str
 
 
+class SuspectMessage(msgspec.Struct, array_like=True):
+    """A request was at so many crashes that one more may begin its quarantine."""
+
+    fingerprint: str
+
+
 class QuarantineMessage(msgspec.Struct, array_like=True):
     """A quarantine that began or was lifted."""
 
@@ -57,6 +68,11 @@
     return ANSWER_TYPE + msgspec.msgpack.encode(message)
 
 
+def encode_suspect(message: SuspectMessage) -> bytes:
+    """Encode a suspect."""
+    return SUSPECT_TYPE + msgspec.msgpack.encode(message)
+
+
 def encode_quarantine_message(message: QuarantineMessage) -> bytes:
     """Encode a quarantine."""
     return QUARANTINE_TYPE + msgspec.msgpack.encode(message)
@@ -65,4 +81,5 @@
 # Each function decodes a datagram without its type byte, and raises `msgspec.DecodeError`.
 decode_crash = msgspec.msgpack.Decoder(CrashMessage).decode
 decode_answer = msgspec.msgpack.Decoder(AnswerMessage).decode
+decode_suspect = msgspec.msgpack.Decoder(SuspectMessage).decode
 decode_quarantine_message = msgspec.msgpack.Decoder(QuarantineMessage).decode
--- a/src/waxwingshelf/serving/dispatcher.py
+++ b/src/waxwingshelf/serving/dispatcher.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import functools
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Protocol
 
 import structlog
@@ -28,6 +28,7 @@
 from waxwingshelf.serving.placement_checks import NoPlacement, PlacementChecks
 from waxwingshelf.serving.routing_state import RoutingState
 from waxwingshelf.serving.send_results import (
+    FailureKind,
     OutgoingRequest,
     SendFailure,
     UpstreamResponse,
@@ -37,10 +38,10 @@
 from waxwingshelf.steering.attempts import AttemptOutcome, NextStep
 from waxwingshelf.steering.placement import PlacementRequest
 from waxwingshelf.steering.refusals import Refusal, RefusalReason, Step
-from waxwingshelf.steering.targets import TargetState
+from waxwingshelf.steering.targets import Target, TargetState
 from waxwingshelf.steering.waiting import Waiter, WaitQueue
 
-__all__ = ["Dispatcher", "Trials"]
+__all__ = ["CrashJudge", "Dispatcher"]
 
 _MS_PER_S = 1_000
 _QUEUE_POLL_INTERVAL_S = 0.02
@@ -54,8 +55,11 @@
 _log = structlog.get_logger("dispatcher")
 
 
-class Trials(Protocol):
-    """Who may send single copies of requests under quarantine."""
+class CrashJudge(Protocol):
+    """Decides which requests crash targets, and who may send single copies of them as trials."""
+
+    async def wait_for_verdict(self, fingerprint: str, deadline_ms: int) -> None:
+        """Wait, before a request is sent, while it is being decided whether it is deadly."""
 
     async def try_begin_trial(self, fingerprint: str) -> bool:
         """Return whether a copy of a quarantined request may be sent, once, by this instance."""
@@ -75,7 +79,7 @@
         routing_state: RoutingState,
         dispatch_state: DispatchState,
         sender: TargetSender,
-        trials: Trials,
+        crash_judge: CrashJudge,
         clock: Clock,
         metrics: Metrics,
         hedged_sender: HedgedSender | None = None,
@@ -86,7 +90,7 @@
         self._routing_state = routing_state
         self._dispatch_state = dispatch_state
         self._sender = sender
-        self._trials = trials
+        self._crash_judge = crash_judge
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, WaitQueue[_QueuedRequest]] = {}
@@ -98,6 +102,8 @@
         # these were last judged.
         self._judged_versions: dict[str, tuple[int, int, int]] = {}
         self._checks = PlacementChecks(routing_state, dispatch_state, sender, clock)
+        # Waits for the probe of a target to which a connection has broken.
+        self.wait_for_probe: Callable[[Target], Awaitable[None]] = _skip_probe
         # Gets the target and the key of an object that may not have been warm there.
         self.on_possible_first_run: Callable[[TargetState, str], None] = lambda state, key: None
 
@@ -131,12 +137,14 @@
         )
         fingerprint = exchange.outgoing.fingerprint
         if self._checks.get_quarantine_ms(exchange) > 0:
-            exchange.is_trial = await self._trials.try_begin_trial(fingerprint)
+            exchange.is_trial = await self._crash_judge.try_begin_trial(fingerprint)
+        else:
+            await self._crash_judge.wait_for_verdict(fingerprint, exchange.deadline_ms)
         try:
             return await self._dispatch(exchange)
         finally:
             if exchange.is_trial:
-                self._trials.return_trial(fingerprint)
+                self._crash_judge.return_trial(fingerprint)
 
     async def _dispatch(self, exchange: Exchange) -> UpstreamResponse | Refusal:
         while True:
@@ -146,10 +154,21 @@
             if isinstance(attempt, Refusal):
                 return prefer_failed_response(exchange, attempt)
             result = await self._send(exchange, attempt)
+            if isinstance(result, SendFailure) and result.kind is FailureKind.BROKEN:
+                await self._wait_for_verdict(exchange, attempt)
             final_result = self._process_result(exchange, result)
             if final_result is not None:
                 return final_result
 
+    async def _wait_for_verdict(self, exchange: Exchange, attempt: Attempt) -> None:
+        """Wait, after a connection broke, until it is known what the request has done there.
+
+        A caller that gets its answer may repeat the request at once, so that this comes before.
+        """
+        await self.wait_for_probe(attempt.state.target)
+        fingerprint = exchange.outgoing.fingerprint
+        await self._crash_judge.wait_for_verdict(fingerprint, exchange.deadline_ms)
+
     async def _wait_for_placement(self, exchange: Exchange) -> Attempt | Refusal:
         queue = self._get_queue(exchange.service)
         exchange.queued_at_ms = now_ms = self._clock.now_ms()
@@ -466,6 +485,10 @@
         )
 
 
+async def _skip_probe(target: Target) -> None:
+    """Wait for nothing; the default of `Dispatcher.wait_for_probe`."""
+
+
 @contextlib.contextmanager
 def _pass_errors(future: asyncio.Future[Attempt | NoPlacement]) -> Iterator[None]:
     """Let the waiting request that a block concerns raise its error, and no other."""
--- a/src/waxwingshelf/serving/instance.py
+++ b/src/waxwingshelf/serving/instance.py
@@ -219,6 +219,7 @@
         object_announcer = ObjectAnnouncer(
             self._peer_network, self._fleet, self._routing_state.targets, clock, metrics
         )
+        self._dispatcher.wait_for_probe = self._crash_detector.wait_for_probe
         self._dispatcher.on_possible_first_run = object_announcer.announce
         self._request_handler = RequestHandler(
             self._routing_state,
--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
 import structlog
@@ -19,15 +20,19 @@
     ANSWER_TYPE,
     CRASH_TYPE,
     QUARANTINE_TYPE,
+    SUSPECT_TYPE,
     AnswerMessage,
     CrashMessage,
     QuarantineMessage,
+    SuspectMessage,
     decode_answer,
     decode_crash,
     decode_quarantine_message,
+    decode_suspect,
     encode_answer,
     encode_crash,
     encode_quarantine_message,
+    encode_suspect,
 )
 from waxwingshelf.serving.metrics import Metrics
 from waxwingshelf.serving.peers import PeerNetwork
@@ -52,6 +57,12 @@
 _MAX_REPORTED_SUSPECTS = 1_024
 _BUSY_INTERVAL_S = 0.1
 _IDLE_INTERVAL_S = 2.0
+# The time from a crash until it is decided whether a request that was there is deadly: reports
+# settle, and the decision goes to all instances.
+_VERDICT_MS = 500
+_VERDICT_POLL_S = 0.02
+# Several instances report one crash.
+_SAME_SUSPICION_MS = 100
 _log = structlog.get_logger("quarantine")
 
 
@@ -77,6 +88,8 @@
         self._metrics = metrics
         self._suspects = CrashSuspects()
         self._answered = AnsweredRequests()
+        # The requests that one more crash may show to be deadly, and when that was last said.
+        self._suspected_ms: OrderedDict[str, int] = OrderedDict()
         # What this instance has reported at crashes, and the quarantines that it has lifted.
         self._reported: dict[str, None] = {}
         self._lifted: set[str] = set()
@@ -91,6 +104,7 @@
         peer_network.add_handler(CRASH_TYPE, self._handle_crash)
         peer_network.add_handler(ANSWER_TYPE, self._handle_answer)
         peer_network.add_handler(QUARANTINE_TYPE, self._handle_quarantine)
+        peer_network.add_handler(SUSPECT_TYPE, self._handle_suspect)
 
     async def run(self) -> None:
         """Decide about the reported crashes and lift quarantines, until cancelled."""
@@ -118,6 +132,7 @@
             return
         fingerprint, now_ms = request.fingerprint, self._clock.now_ms()
         self._answered.record(fingerprint, now_ms)
+        self._suspected_ms.pop(fingerprint, None)
         if fingerprint in self._reported:
             del self._reported[fingerprint]
             self._suspects.record_answer(fingerprint)
@@ -125,6 +140,22 @@
         if self._quarantines.get_remaining_ms(fingerprint, now_ms) > 0:
             self._has_work.set()
 
+    async def wait_for_verdict(self, fingerprint: str, deadline_ms: int) -> None:
+        """Wait, before a request is sent, while it is being decided whether it is deadly.
+
+        It returns at once for a request that was not at two crashes since it was last answered.
+        """
+        while self._is_verdict_due(fingerprint) and self._clock.now_ms() < deadline_ms:
+            await asyncio.sleep(_VERDICT_POLL_S)
+
+    def _is_verdict_due(self, fingerprint: str) -> bool:
+        suspected_ms = self._suspected_ms.get(fingerprint)
+        if suspected_ms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        is_recent = now_ms - suspected_ms < _VERDICT_MS
+        return is_recent and self._quarantines.get_remaining_ms(fingerprint, now_ms) == 0
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request was lost in a crash that this instance saw, and not answered."""
         return fingerprint in self._reported
@@ -137,6 +168,8 @@
         fingerprints = sorted(crash.fingerprints)
         for fingerprint in fingerprints:
             self._reported[fingerprint] = None
+            if fingerprint in self._suspected_ms:
+                self._suspect(fingerprint)
             if fingerprint in self._trials:
                 self._settle_trial(fingerprint)
         while len(self._reported) > _MAX_REPORTED_SUSPECTS:
@@ -162,6 +195,21 @@
             return
         self._suspects.record_crash(crash, now_ms)
         self._has_work.set()
+        for fingerprint in crash.fingerprints:
+            if self._suspects.is_nearly_deadly(fingerprint) and self._suspect(fingerprint):
+                self._send_to_all(encode_suspect(SuspectMessage(fingerprint)))
+
+    def _suspect(self, fingerprint: str) -> bool:
+        """Let the next copies of a request wait; return False if they do so already."""
+        now_ms = self._clock.now_ms()
+        suspected_ms = self._suspected_ms.pop(fingerprint, None)
+        self._suspected_ms[fingerprint] = now_ms
+        if len(self._suspected_ms) > _MAX_REPORTED_SUSPECTS:
+            self._suspected_ms.popitem(last=False)
+        return suspected_ms is None or now_ms - suspected_ms >= _SAME_SUSPICION_MS
+
+    def _handle_suspect(self, data: memoryview) -> None:
+        self._suspect(decode_suspect(data).fingerprint)
 
     def _handle_answer(self, data: memoryview) -> None:
         self._suspects.record_answer(decode_answer(data).fingerprint)
@@ -226,8 +274,7 @@
         return fingerprint in self._lifted or self._name in self._list_collectors()
 
     def _announce(self, fingerprint: str, quarantine: Quarantine) -> None:
-        data = encode_quarantine_message(QuarantineMessage(fingerprint, quarantine))
-        self._send((peer.address.name for peer in self._fleet.list_peers()), data)
+        self._send_to_all(encode_quarantine_message(QuarantineMessage(fingerprint, quarantine)))
 
     async def try_begin_trial(self, fingerprint: str) -> bool:
         """Return whether a copy of a quarantined request may be sent, once, by this instance."""
@@ -256,6 +303,9 @@
         names = [address.name for address in peers if address.collects_crashes]
         return rank("crash collector", [self._name, *names])[:_COLLECTORS]
 
+    def _send_to_all(self, data: bytes) -> None:
+        self._send((peer.address.name for peer in self._fleet.list_peers()), data)
+
     def _send(self, names: Iterable[str], data: bytes) -> None:
         for name in names:
             address = self._fleet.find_address(name)
--- a/src/waxwingshelf/steering/crash_suspects.py
+++ b/src/waxwingshelf/steering/crash_suspects.py
@@ -107,6 +107,10 @@
             self._last_crashes.popitem(last=False)
         return f"{target_run}#{crashes}"
 
+    def is_nearly_deadly(self, fingerprint: str) -> bool:
+        """Return whether one more crash may show that a request is deadly."""
+        return len(self._runs_by_fingerprint.get(fingerprint, ())) >= _MIN_CRASHES - 1
+
     def record_answer(self, fingerprint: str) -> bool:
         """Clear a request that was answered; return whether it was a suspect."""
         return self._runs_by_fingerprint.pop(fingerprint, None) is not None
--- a/tests/platform/test_unknown_values.py
+++ b/tests/platform/test_unknown_values.py
@@ -542,6 +542,10 @@
         crash_messages.encode_answer(crash_messages.AnswerMessage("f")),
         crash_messages.decode_answer,
     ),
+    "suspect": (
+        crash_messages.encode_suspect(crash_messages.SuspectMessage("f")),
+        crash_messages.decode_suspect,
+    ),
     "quarantine": (
         crash_messages.encode_quarantine_message(QUARANTINE_MESSAGE),
         crash_messages.decode_quarantine_message,
--- a/tests/serving/hedging_fakes.py
+++ b/tests/serving/hedging_fakes.py
@@ -103,8 +103,11 @@
         return fake.work_ms * (10 if is_stalled else 1)
 
 
-class NoTrials:
-    """No request is under quarantine."""
+class NoCrashes:
+    """No request crashes targets, and none is under quarantine."""
+
+    async def wait_for_verdict(self, fingerprint: str, deadline_ms: int) -> None:
+        pass
 
     async def try_begin_trial(self, fingerprint: str) -> bool:
         return False
@@ -160,7 +163,7 @@
             self.routing_state,
             self.dispatch_state,
             self.sender,
-            NoTrials(),
+            NoCrashes(),
             loop,
             self.metrics,
             self.hedged_sender,
--- a/tests/serving/test_deadly_requests.py
+++ b/tests/serving/test_deadly_requests.py
@@ -125,3 +125,20 @@
             await traffic.stop()
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(("route", "method"), [("read", "GET"), ("order", "POST")])
+def test_third_crash_is_the_last(run_scenario, route, method) -> None:
+    """Guards against copies that are sent while it is being found out what crashed the targets.
+
+    Each comes when the one before was answered, at an instance that may not have seen a crash.
+    """
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 4)
+        for name in names * 2:
+            response = await deployment.send_request(f"/{route}/{DEADLY_TEXT}", name, method)
+            assert response.status in (502, 503)
+        assert count_crashes(deployment) == ALLOWED_CRASHES
+
+    run_scenario(scenario)
--- a/tests/serving/test_outside_values.py
+++ b/tests/serving/test_outside_values.py
@@ -74,11 +74,12 @@
     peer_messages.CHANGES_TYPE: draw_struct(peer_messages.ChangesMessage),
     crash_messages.CRASH_TYPE: draw_struct(crash_messages.CrashMessage),
     crash_messages.ANSWER_TYPE: draw_struct(crash_messages.AnswerMessage),
+    crash_messages.SUSPECT_TYPE: draw_struct(crash_messages.SuspectMessage),
     crash_messages.QUARANTINE_TYPE: draw_struct(crash_messages.QuarantineMessage),
     object_announcements.OBJECT_TYPE: draw_struct(object_announcements.ObjectSent),
     b"r": draw_struct(OwnerReport),
 }
-_ARRAYS = (b"h", b"m", b"c", b"x", b"a", b"q", b"o")
+_ARRAYS = (b"h", b"m", b"c", b"x", b"a", b"s", b"q", b"o")
 HEADER_VALUES = st.binary(max_size=30).filter(lambda value: not set(value) & {0, 10, 13})
 LAST_VERSION = "r" + "9" * 300
 
