Let the holder of a trial store its outcome too

In a fleet whose collectors are of an earlier build, a quarantined request would have got no further trial, and callers of a harmless one 503 for ten minutes: found when the change of the trials was read again, before anything landed. Cause: only collectors write a quarantine, and those of an earlier build do not know the outcome of a trial; an instance claims the next trial only when the store has what it knows. Evidence: test_outcome_of_a_trial_is_stored_without_collectors failed before. Change: an instance is responsible for what it has changed, the outcome of its trial as well as a quarantine lifted. Measured: tests/serving/test_quarantine.py passes, 17 tests.

--- a/src/waxwingshelf/serving/quarantine_keeper.py
+++ b/src/waxwingshelf/serving/quarantine_keeper.py
@@ -90,9 +90,9 @@
         self._answered = AnsweredRequests()
         # The requests that one more crash may show to be deadly, and when that was last said.
         self._suspected_ms: OrderedDict[str, int] = OrderedDict()
-        # What this instance has reported at crashes, and the quarantines that it has lifted.
+        # What this instance has reported at crashes, and the quarantines that it has changed.
         self._reported: dict[str, None] = {}
-        self._lifted: set[str] = set()
+        self._changed: set[str] = set()
         # Trials that this instance may make, as no target has got the request yet: the beginning of
         # the quarantine by fingerprint.
         self._permits: dict[str, int] = {}
@@ -249,7 +249,7 @@
             if not self._answered.was_answered_since(fingerprint, entry.suspected_since_ms):
                 continue
             lifted = replace(entry.quarantine, lifted=True)
-            self._lifted.add(fingerprint)
+            self._changed.add(fingerprint)
             self._record_quarantine(fingerprint, lifted, "answer")
             self._announce(fingerprint, lifted)
 
@@ -259,6 +259,7 @@
         known = self._quarantines.find(fingerprint)
         if known is not None and known.settled_trials < known.trials:
             settled = replace(known, settled_trials=known.trials)
+            self._changed.add(fingerprint)
             self._record_quarantine(fingerprint, settled, "trial")
             self._announce(fingerprint, settled)
 
@@ -266,12 +267,11 @@
         for fingerprint in self._permits.keys() - in_force.keys():
             del self._permits[fingerprint]
         self._trials &= in_force.keys()
-        for fingerprint in self._lifted - self._quarantines.list_all().keys():
-            self._lifted.discard(fingerprint)
+        self._changed &= self._quarantines.list_all().keys()
 
     def _is_responsible(self, fingerprint: str) -> bool:
         """Return whether this instance keeps a quarantine in the store."""
-        return fingerprint in self._lifted or self._name in self._list_collectors()
+        return fingerprint in self._changed or self._name in self._list_collectors()
 
     def _announce(self, fingerprint: str, quarantine: Quarantine) -> None:
         self._send_to_all(encode_quarantine_message(QuarantineMessage(fingerprint, quarantine)))
--- a/tests/serving/test_quarantine.py
+++ b/tests/serving/test_quarantine.py
@@ -19,6 +19,7 @@
     start_fleet,
 )
 from waxwingshelf.core.rendezvous import rank
+from waxwingshelf.serving.quarantine_keeper import QuarantineKeeper
 from waxwingshelf.serving.request_fingerprints import compute_fingerprint
 from waxwingshelf.serving.send_results import OutgoingRequest
 
@@ -262,6 +263,26 @@
     run_scenario(scenario)
 
 
+def test_outcome_of_a_trial_is_stored_without_collectors(run_scenario, monkeypatch) -> None:
+    """Guards against quarantines that no instance may try again as collectors of an earlier build
+    do not write the outcome of a trial."""
+    monkeypatch.setattr(QuarantineKeeper, "_list_collectors", lambda keeper: ["earlier"])
+
+    async def scenario(deployment) -> None:
+        names = await start_fleet(deployment, 2)
+        fingerprint = compute_read_fingerprint(DEADLY_PATH)
+        began_ms = int(time.time() * 1_000) - 1_500
+        entry = {"began_ms": began_ms, "lifted": False, "trials": 0, "suspected_ms": 500}
+        deployment.store.put(PREFIX + fingerprint, entry)
+        await asyncio.sleep(0.5)
+        assert (await deployment.send_request(DEADLY_PATH, names[0])).status == 502
+        await deployment.wait_until(
+            lambda: list_stored(deployment)[fingerprint].get("settled_trials") == 1
+        )
+
+    run_scenario(scenario)
+
+
 def test_trials_of_a_deadly_request_are_single(run_scenario) -> None:
     async def scenario(deployment) -> None:
         names = await start_fleet(deployment, 4)
