Share the loop of two tests of trials

Cause: two tests of the schedule of trials stood as copies of one loop, of eleven lines. Change: list_trial_times runs it, with or without the end of each trial; both tests keep their assertions.

--- a/tests/steering/test_quarantine.py
+++ b/tests/steering/test_quarantine.py
@@ -66,9 +66,8 @@
     assert quarantines.get_remaining_ms("1999", 2_000) > 0
 
 
-def test_trials_are_few_and_far_between() -> None:
-    """The rule allows three retries after the third crash."""
-    quarantines = QuarantineList()
+def list_trial_times(quarantines: QuarantineList, is_settled: bool) -> list[int]:
+    """Return when trials were due, each begun at once; `is_settled` is whether its end is known."""
     quarantine = BEGUN
     quarantines.record("f", quarantine, 0, WALL_MS)
     trials = []
@@ -77,24 +76,22 @@
             trials.append(now_ms)
             quarantine = replace(quarantine, trials=quarantine.trials + 1)
             quarantines.record("f", quarantine, now_ms, WALL_MS + now_ms)
-            quarantine = replace(quarantine, settled_trials=quarantine.trials)
-            quarantines.record("f", quarantine, now_ms, WALL_MS + now_ms)
-    assert trials == [1_000, 5_000, 30_000]
+            if is_settled:
+                quarantine = replace(quarantine, settled_trials=quarantine.trials)
+                quarantines.record("f", quarantine, now_ms, WALL_MS + now_ms)
+    return trials
+
+
+def test_trials_are_few_and_far_between() -> None:
+    """The rule allows three retries after the third crash."""
+    quarantines = QuarantineList()
+    assert list_trial_times(quarantines, is_settled=True) == [1_000, 5_000, 30_000]
     assert not quarantines.is_trial_due("other", 5_000)
 
 
 def test_trials_without_an_outcome_are_as_few() -> None:
     """Guards against trials beyond three, whatever becomes of the instances that send them."""
-    quarantines = QuarantineList()
-    quarantine = BEGUN
-    quarantines.record("f", quarantine, 0, WALL_MS)
-    trials = []
-    for now_ms in range(0, QUARANTINE_MS, 500):
-        if quarantines.is_trial_due("f", now_ms):
-            trials.append(now_ms)
-            quarantine = replace(quarantine, trials=quarantine.trials + 1)
-            quarantines.record("f", quarantine, now_ms, WALL_MS + now_ms)
-    assert trials == [1_000, 5_000, 13_000]
+    assert list_trial_times(QuarantineList(), is_settled=False) == [1_000, 5_000, 13_000]
 
 
 def test_trials_of_another_instance_are_taken_over() -> None:
